Serve the whole thin path with separate processes

Ruled out: an entry on the path of every activation (a hop more for each stage and token); a write to the platform for each operation (its rate is shared by the fleet).

--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,89 @@
+//! The command line: one file for each subcommand.
+
+mod agent;
+mod check;
+mod client;
+mod entry;
+mod profile;
+mod status;
+mod timeline;
+
+use argh::FromArgs;
+
+pub use agent::AgentArgs;
+pub use check::CheckArgs;
+pub use entry::EntryArgs;
+pub use profile::ProfileArgs;
+pub use status::StatusArgs;
+pub use timeline::TimelineArgs;
+
+/// Exit code of a wrong flag, variable, address, profile or token.
+pub const EXIT_USAGE: i32 = 2;
+
+/// Route model pipelines and plain services over mixed accelerators.
+///
+/// Exit codes: 0 done, 1 failed, 2 wrong flag or setting, 3 stopped with requests cut short.
+#[derive(Debug, FromArgs)]
+pub struct MainArgs {
+    #[argh(subcommand)]
+    command: MainCommand,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum MainCommand {
+    Entry(EntryArgs),
+    Agent(AgentArgs),
+    Profile(ProfileArgs),
+    Status(StatusArgs),
+    Timeline(TimelineArgs),
+    Check(CheckArgs),
+}
+
+/// How a command ended without success.
+#[derive(Debug)]
+pub enum CommandError {
+    /// A flag, setting, name or token is wrong.
+    Usage(eyre::Report),
+    /// The command failed.
+    Failed(eyre::Report),
+}
+
+impl CommandError {
+    /// The exit code that fits.
+    pub fn code(&self) -> i32 {
+        match self {
+            CommandError::Usage(_) => EXIT_USAGE,
+            CommandError::Failed(_) => 1,
+        }
+    }
+}
+
+impl std::fmt::Display for CommandError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let (CommandError::Usage(report) | CommandError::Failed(report)) = self;
+        // The alternate form puts the causes on the same line.
+        write!(f, "lynxcart: {report:#}")
+    }
+}
+
+/// The result of a command: its exit code.
+pub type CommandResult = Result<i32, CommandError>;
+
+impl MainArgs {
+    /// Runs the command.
+    ///
+    /// # Errors
+    ///
+    /// When the command is used wrongly or fails.
+    pub fn run(self) -> CommandResult {
+        match self.command {
+            MainCommand::Entry(args) => args.run(),
+            MainCommand::Agent(args) => args.run(),
+            MainCommand::Profile(args) => args.run(),
+            MainCommand::Status(args) => args.run(),
+            MainCommand::Timeline(args) => args.run(),
+            MainCommand::Check(args) => args.run(),
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,10 @@
+//! Small stand-ins for what lynxcart meets, and the drivers that start a fleet of them.
+//!
+//! Each stand-in is a process of its own with faults that are switched over HTTP at run time.
+
+pub mod engine;
+pub mod fleet;
+pub mod model;
+pub mod platform;
+pub mod server;
+pub mod service;
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,405 @@
+//! The platform: a key-value service with compare-and-swap, leases and watches over the HTTP/JSON
+//! form of etcd's v3 API, and the lagging list of VMs.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use http::{Method, Request};
+use hyper::body::Incoming;
+use lynxcart::platform::etcd::{decode, EtcdItem};
+use lynxcart::platform::PlatformItem;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+
+use crate::server::{json as answer_json, lines, read_body, serve, text, ServerResponse};
+
+/// Time between two looks for expired leases, milliseconds.
+const EXPIRY_MS: u64 = 50;
+
+/// Faults switched at run time.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PlatformFaults {
+    /// Answer nothing but an error, and break the watches.
+    pub outage: bool,
+    /// Delay of each answer, milliseconds.
+    pub delay_ms: u64,
+    /// Writes that take effect and are answered with an error.
+    pub lose_answers: u32,
+}
+
+/// Calls answered so far.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct PlatformStats {
+    /// Reads.
+    pub reads: u64,
+    /// Writes.
+    pub writes: u64,
+    /// Watches opened.
+    pub watches: u64,
+}
+
+struct StoredItem {
+    item: PlatformItem,
+    lease: i64,
+}
+
+struct StoredLease {
+    ttl_s: i64,
+    ends: Instant,
+}
+
+struct Watcher {
+    key: String,
+    range_end: String,
+    sender: UnboundedSender<String>,
+}
+
+#[derive(Default)]
+struct StoreState {
+    revision: u64,
+    items: BTreeMap<String, StoredItem>,
+    history: Vec<PlatformItem>,
+    leases: HashMap<i64, StoredLease>,
+    next_lease: i64,
+    watchers: Vec<Watcher>,
+    vms: Value,
+    ledger: Vec<Value>,
+    faults: PlatformFaults,
+    stats: PlatformStats,
+}
+
+type Store = Arc<Mutex<StoreState>>;
+
+/// Runs the platform until the process ends.
+///
+/// # Errors
+///
+/// When the address cannot be listened on.
+pub async fn run(address: SocketAddr) -> eyre::Result<()> {
+    let store = Store::default();
+    tokio::spawn(expire_leases(store.clone()));
+    serve(address, move |request| handle(store.clone(), request)).await
+}
+
+fn lock(store: &Store) -> MutexGuard<'_, StoreState> {
+    store.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn expire_leases(store: Store) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(EXPIRY_MS)).await;
+        let mut state = lock(&store);
+        let now = Instant::now();
+        let over: Vec<i64> = state
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.ends <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for lease in over {
+            state.end_lease(lease);
+        }
+    }
+}
+
+async fn handle(store: Store, request: Request<Incoming>) -> ServerResponse {
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    let body = read_body(request).await;
+    let value: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    if let Some(answer) = handle_control(&store, &method, &path, &value) {
+        return answer;
+    }
+    let faults = lock(&store).faults.clone();
+    if faults.delay_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+    }
+    if lock(&store).faults.outage {
+        return text(503, "outage");
+    }
+    let mut state = lock(&store);
+    match path.as_str() {
+        "/v3/kv/range" => answer_json(&state.range(&value)),
+        "/v3/kv/txn" => {
+            let answer = state.txn(&value);
+            if state.faults.lose_answers > 0 {
+                state.faults.lose_answers -= 1;
+                return text(503, "answer lost");
+            }
+            answer_json(&answer)
+        }
+        "/v3/lease/grant" => answer_json(&state.grant(&value)),
+        "/v3/lease/keepalive" => answer_json(&state.keep_alive(&value)),
+        "/v3/lease/revoke" => {
+            state.stats.writes += 1;
+            state.end_lease(number(&value["ID"]));
+            answer_json(&json!({}))
+        }
+        "/v3/watch" => state.watch(&value["create_request"]),
+        _ => text(404, ""),
+    }
+}
+
+fn handle_control(
+    store: &Store,
+    method: &Method,
+    path: &str,
+    value: &Value,
+) -> Option<ServerResponse> {
+    let mut state = lock(store);
+    let answer = match (method, path) {
+        (&Method::POST, "/faults") => {
+            state.faults = serde_json::from_value(value.clone()).unwrap_or_default();
+            if state.faults.outage {
+                state.watchers.clear();
+            }
+            text(200, "")
+        }
+        (&Method::GET, "/stats") => answer_json(&state.stats),
+        (&Method::GET, "/vms") => answer_json(&state.vms),
+        (&Method::POST, "/vms") => {
+            state.vms = value.clone();
+            text(200, "")
+        }
+        (&Method::GET, "/ledger") => answer_json(&state.ledger),
+        (&Method::POST, "/ledger") => {
+            state.ledger.push(value.clone());
+            text(200, "")
+        }
+        _ => return None,
+    };
+    Some(answer)
+}
+
+impl StoreState {
+    fn header(&self) -> Value {
+        json!({"revision": self.revision.to_string()})
+    }
+
+    fn select(&self, key: &str, range_end: &str) -> Vec<EtcdItem> {
+        let items = self.items.range(key.to_owned()..);
+        items
+            .take_while(|(name, _)| in_range(name, key, range_end))
+            .map(|(_, stored)| EtcdItem::from(&stored.item))
+            .collect()
+    }
+
+    fn range(&mut self, request: &Value) -> Value {
+        self.stats.reads += 1;
+        let kvs = self.select(
+            &bytes_text(&request["key"]),
+            &bytes_text(&request["range_end"]),
+        );
+        json!({"header": self.header(), "kvs": kvs})
+    }
+
+    fn txn(&mut self, request: &Value) -> Value {
+        self.stats.writes += 1;
+        let compares = request["compare"].as_array().cloned().unwrap_or_default();
+        let succeeded = compares.iter().all(|compare| self.holds(compare));
+        let branch = if succeeded { "success" } else { "failure" };
+        let operations = request[branch].as_array().cloned().unwrap_or_default();
+        let writes = operations
+            .iter()
+            .any(|op| op.get("request_range").is_none());
+        if writes {
+            self.revision += 1;
+        }
+        let mut changed = Vec::new();
+        let responses: Vec<Value> = operations
+            .iter()
+            .map(|operation| self.operate(operation, &mut changed))
+            .collect();
+        self.tell(&changed);
+        json!({"header": self.header(), "succeeded": succeeded, "responses": responses})
+    }
+
+    fn holds(&self, compare: &Value) -> bool {
+        let item = self
+            .items
+            .get(&bytes_text(&compare["key"]))
+            .map(|stored| &stored.item);
+        match compare["target"].as_str() {
+            Some("MOD") => item.map_or(0, |i| i.mod_revision) == unsigned(&compare["mod_revision"]),
+            Some("CREATE") => {
+                item.map_or(0, |i| i.create_revision) == unsigned(&compare["create_revision"])
+            }
+            Some("VALUE") => {
+                let value = decode(compare["value"].as_str().unwrap_or(""));
+                item.is_some_and(|item| item.value == value)
+            }
+            _ => false,
+        }
+    }
+
+    fn operate(&mut self, operation: &Value, changed: &mut Vec<PlatformItem>) -> Value {
+        if let Some(put) = operation.get("request_put") {
+            let key = bytes_text(&put["key"]);
+            let value = decode(put["value"].as_str().unwrap_or(""));
+            changed.push(self.put(key, value, number(&put["lease"])));
+            return json!({"response_put": {}});
+        }
+        if let Some(delete) = operation.get("request_delete_range") {
+            let (key, end) = (bytes_text(&delete["key"]), bytes_text(&delete["range_end"]));
+            let names: Vec<String> = self
+                .items
+                .range(key.clone()..)
+                .map(|(name, _)| name.clone())
+                .take_while(|name| in_range(name, &key, &end))
+                .collect();
+            changed.extend(names.iter().filter_map(|name| self.delete(name)));
+            return json!({"response_delete_range": {}});
+        }
+        let range = &operation["request_range"];
+        let kvs = self.select(&bytes_text(&range["key"]), &bytes_text(&range["range_end"]));
+        json!({"response_range": {"kvs": kvs}})
+    }
+
+    fn put(&mut self, key: String, value: Vec<u8>, lease: i64) -> PlatformItem {
+        let created = self
+            .items
+            .get(&key)
+            .map(|stored| stored.item.create_revision);
+        let item = PlatformItem {
+            key: key.clone(),
+            value,
+            create_revision: created.unwrap_or(self.revision),
+            mod_revision: self.revision,
+        };
+        let stored = StoredItem {
+            item: item.clone(),
+            lease,
+        };
+        self.items.insert(key, stored);
+        item
+    }
+
+    fn delete(&mut self, key: &str) -> Option<PlatformItem> {
+        let mut item = self.items.remove(key)?.item;
+        item.value.clear();
+        item.mod_revision = self.revision;
+        Some(item)
+    }
+
+    fn tell(&mut self, changed: &[PlatformItem]) {
+        self.history.extend_from_slice(changed);
+        let header = self.header();
+        self.watchers.retain(|watcher| {
+            let events = changed
+                .iter()
+                .filter(|item| in_range(&item.key, &watcher.key, &watcher.range_end));
+            let line = watch_line(&header, events);
+            line.is_none_or(|line| watcher.sender.send(line).is_ok())
+        });
+    }
+
+    fn watch(&mut self, request: &Value) -> ServerResponse {
+        self.stats.watches += 1;
+        let (sender, receiver) = unbounded_channel();
+        let watcher = Watcher {
+            key: bytes_text(&request["key"]),
+            range_end: bytes_text(&request["range_end"]),
+            sender,
+        };
+        let start = unsigned(&request["start_revision"]);
+        let missed = self.history.iter().filter(|item| {
+            item.mod_revision >= start && in_range(&item.key, &watcher.key, &watcher.range_end)
+        });
+        if let Some(line) = watch_line(&self.header(), missed) {
+            let _ = watcher.sender.send(line);
+        }
+        self.watchers.push(watcher);
+        lines(receiver)
+    }
+
+    fn grant(&mut self, request: &Value) -> Value {
+        self.stats.writes += 1;
+        self.next_lease += 1;
+        let ttl_s = number(&request["TTL"]);
+        let lease = StoredLease {
+            ttl_s,
+            ends: lease_end(ttl_s),
+        };
+        self.leases.insert(self.next_lease, lease);
+        json!({"ID": self.next_lease.to_string(), "TTL": ttl_s.to_string()})
+    }
+
+    fn keep_alive(&mut self, request: &Value) -> Value {
+        self.stats.writes += 1;
+        let id = number(&request["ID"]);
+        let ttl_s = match self.leases.get_mut(&id) {
+            Some(lease) => {
+                lease.ends = lease_end(lease.ttl_s);
+                lease.ttl_s
+            }
+            None => 0,
+        };
+        json!({"result": {"ID": id.to_string(), "TTL": ttl_s.to_string()}})
+    }
+
+    fn end_lease(&mut self, lease: i64) {
+        if self.leases.remove(&lease).is_none() {
+            return;
+        }
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, stored)| stored.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        self.revision += 1;
+        let changed: Vec<PlatformItem> = keys.iter().filter_map(|key| self.delete(key)).collect();
+        self.tell(&changed);
+    }
+}
+
+fn lease_end(ttl_s: i64) -> Instant {
+    Instant::now() + Duration::from_secs(u64::try_from(ttl_s).unwrap_or(0))
+}
+
+fn watch_line<'a>(header: &Value, items: impl Iterator<Item = &'a PlatformItem>) -> Option<String> {
+    let events: Vec<Value> = items
+        .map(|item| {
+            let kind = if item.value.is_empty() {
+                "DELETE"
+            } else {
+                "PUT"
+            };
+            json!({"type": kind, "kv": EtcdItem::from(item)})
+        })
+        .collect();
+    if events.is_empty() {
+        return None;
+    }
+    Some(json!({"result": {"header": header, "events": events}}).to_string())
+}
+
+fn in_range(name: &str, key: &str, range_end: &str) -> bool {
+    if range_end.is_empty() {
+        name == key
+    } else {
+        name >= key && name < range_end
+    }
+}
+
+fn bytes_text(value: &Value) -> String {
+    String::from_utf8(decode(value.as_str().unwrap_or(""))).unwrap_or_default()
+}
+
+fn number(value: &Value) -> i64 {
+    value
+        .as_str()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0)
+}
+
+fn unsigned(value: &Value) -> u64 {
+    value
+        .as_str()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0)
+}
