--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -2,7 +2,7 @@
 //! lost, doubled and reordered; a platform with outages and lost answers; engines and services
 //! that take time; crashes and pauses. One seed gives one run.
 
-#![allow(dead_code, reason = "each test file uses its part")]
+#![allow(dead_code, unreachable_pub, reason = "each test file uses its part")]
 
 pub mod store;
 
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -1,5 +1,7 @@
 //! A fake of the platform's key-value service.
 
+#![allow(unreachable_pub, reason = "shared by test files")]
+
 use std::collections::{BTreeMap, HashMap};
 
 use lynxcart::clock::ClockTime;
