--- /dev/null
+++ b/standins/src/bin/bench.rs
@@ -0,0 +1,358 @@
+//! Measures, each figure beside its bound. Bounds come from the stated targets.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use argh::FromArgs;
+use serde_json::json;
+use standins::direct::DirectChain;
+use standins::fleet::{Fleet, FleetProcess, FleetSetup};
+use standins::load::{ask, cpu_time, load_direct, load_fleet, resident_kib, LoadPlan, LoadReport};
+use standins::slope::{config_slope, heartbeat_bytes, replica_slope, SlopePoint};
+
+/// Target of letter 1: time to the first token for 95 in 100, microseconds.
+const FIRST_US: u64 = 2_000_000;
+/// Target of letter 1: time between tokens for 95 in 100, microseconds.
+const BETWEEN_US: u64 = 26_000;
+/// Target of issue 5: throughput as a share of its bound.
+const THROUGHPUT_SHARE: f64 = 0.95;
+/// Target of issue 5: a stalled stream resumes within this time, milliseconds.
+const RESUME_MS: u64 = 2_000;
+
+/// Measure lynxcart on the stand-ins.
+#[derive(FromArgs)]
+struct BenchArgs {
+    #[argh(subcommand)]
+    what: BenchWhat,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum BenchWhat {
+    Latency(LatencyArgs),
+    Throughput(ThroughputArgs),
+    Recovery(RecoveryArgs),
+    Slopes(SlopesArgs),
+}
+
+/// Added latency against a client that drives the same engines by hand.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "latency")]
+struct LatencyArgs {}
+
+/// Throughput against the bound of the engines' steps.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "throughput")]
+struct ThroughputArgs {}
+
+/// Longest pause of a stream when a stage is lost.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "recovery")]
+struct RecoveryArgs {}
+
+/// Slopes of the decision code, and costs of the running processes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "slopes")]
+struct SlopesArgs {}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let args: BenchArgs = argh::from_env();
+    match args.what {
+        BenchWhat::Latency(_) => latency().await,
+        BenchWhat::Throughput(_) => throughput().await,
+        BenchWhat::Recovery(_) => recovery().await,
+        BenchWhat::Slopes(_) => slopes().await,
+    }
+}
+
+fn setup() -> FleetSetup {
+    let logs: PathBuf = std::env::temp_dir().join(format!("lynxcart-bench-{}", std::process::id()));
+    FleetSetup {
+        step_us: 8_000,
+        batch: 8,
+        limit: 32,
+        ..FleetSetup::small(logs)
+    }
+}
+
+fn line(name: &str, value: f64, unit: &str, bound: &str, within: bool) {
+    let verdict = if within { "within" } else { "OUTSIDE" };
+    println!("{name:<44} {value:>12.2} {unit:<10} bound {bound:<16} {verdict}");
+}
+
+fn figure(name: &str, value: f64, unit: &str) {
+    println!("{name:<44} {value:>12.2} {unit}");
+}
+
+fn report_lines(name: &str, report: &LoadReport) {
+    let first = report.first.value_at_quantile(0.95);
+    let between = report.between.value_at_quantile(0.95);
+    line(
+        &format!("{name}: first token, p95"),
+        first as f64 / 1e3,
+        "ms",
+        "2000 ms",
+        first <= FIRST_US,
+    );
+    line(
+        &format!("{name}: between tokens, p95"),
+        between as f64 / 1e3,
+        "ms",
+        "26 ms",
+        between <= BETWEEN_US,
+    );
+    figure(
+        &format!("{name}: first token, p50"),
+        report.first.value_at_quantile(0.5) as f64 / 1e3,
+        "ms",
+    );
+    figure(
+        &format!("{name}: between tokens, p50"),
+        report.between.value_at_quantile(0.5) as f64 / 1e3,
+        "ms",
+    );
+    figure(&format!("{name}: tokens"), report.rate(), "tokens/s");
+    let answers = report.whole as f64 / report.elapsed.as_secs_f64();
+    figure(&format!("{name}: whole answers"), answers, "requests/s");
+    figure(&format!("{name}: failed"), report.failed as f64, "requests");
+}
+
+async fn latency() -> eyre::Result<()> {
+    for callers in [1, 8] {
+        let plan = LoadPlan {
+            callers,
+            requests: callers * 10,
+            tokens: 40,
+        };
+        let fleet = Fleet::start(setup()).await?;
+        let routed = load_fleet(&fleet, plan).await;
+        drop(fleet);
+        let engines = Fleet::start_engines(&setup()).await?;
+        let addresses: Vec<_> = engines.iter().map(|engine| engine.http).collect();
+        // Stage by stage, two replicas of each: the chains take one of each stage.
+        let mut chains = Vec::new();
+        for replica in 0..2 {
+            let chain: Vec<_> = addresses.iter().skip(replica).step_by(2).copied().collect();
+            chains.push(DirectChain::connect(&chain).await?);
+        }
+        let direct = load_direct(&chains, plan).await;
+        report_lines(&format!("{callers} callers, lynxcart"), &routed);
+        report_lines(&format!("{callers} callers, by hand"), &direct);
+        let ratio = |q: f64| {
+            let (routed, direct) = (&routed.between, &direct.between);
+            routed.value_at_quantile(q) as f64 / direct.value_at_quantile(q) as f64
+        };
+        figure(
+            &format!("{callers} callers, between tokens p50, ratio"),
+            ratio(0.5),
+            "x",
+        );
+        figure(
+            &format!("{callers} callers, between tokens p95, ratio"),
+            ratio(0.95),
+            "x",
+        );
+        figure(
+            &format!("{callers} callers, tokens/s, ratio"),
+            routed.rate() / direct.rate(),
+            "x",
+        );
+    }
+    Ok(())
+}
+
+async fn throughput() -> eyre::Result<()> {
+    let setup = setup();
+    let fleet = Fleet::start(setup.clone()).await?;
+    let steps = 1e6 / setup.step_us as f64;
+    let bound = f64::from(setup.replicas) * steps * setup.batch as f64;
+    println!(
+        "bound: {} replicas a stage x {steps} steps/s x {} sequences = {bound} tokens/s",
+        setup.replicas, setup.batch
+    );
+    // A sequence is in one stage at a time, so that three times the batches keep all stages busy.
+    for (share, callers) in [(50, 24), (100, 48), (150, 72)] {
+        let plan = LoadPlan {
+            callers,
+            requests: callers * 4,
+            tokens: 100,
+        };
+        let report = load_fleet(&fleet, plan).await;
+        let name = format!("offered {share}%, {callers} callers");
+        report_lines(&name, &report);
+        let reached = report.rate() / bound;
+        if share >= 100 {
+            line(
+                &format!("{name}: share of the bound"),
+                reached,
+                "x",
+                "0.95 x",
+                reached >= THROUGHPUT_SHARE,
+            );
+        } else {
+            figure(&format!("{name}: share of the bound"), reached, "x");
+        }
+    }
+    Ok(())
+}
+
+async fn recovery() -> eyre::Result<()> {
+    for (name, signal) in [
+        ("agent killed", "KILL"),
+        ("agent frozen", "STOP"),
+        ("agent stopped as planned", "TERM"),
+    ] {
+        let fleet = Fleet::start(setup()).await?;
+        let mut longest = 0;
+        let mut whole = 0;
+        let streams: Vec<_> = (0..8).map(|number| format!("recovery {number}")).collect();
+        let asked = streams.iter().map(|prompt| async {
+            let mut report = LoadReport::default();
+            let whole = ask(&fleet, 0, prompt, 150, &mut report).await;
+            (whole.unwrap_or(false), report)
+        });
+        let harm = async {
+            tokio::time::sleep(Duration::from_millis(800)).await;
+            fleet.agents[2].signal(signal)
+        };
+        let (answers, harmed) =
+            futures_util::future::join(futures_util::future::join_all(asked), harm).await;
+        harmed?;
+        for (ended, report) in answers {
+            whole += u32::from(ended);
+            longest = longest.max(report.between.max());
+        }
+        let pause = longest as f64 / 1e3;
+        line(
+            &format!("{name}: longest pause"),
+            pause,
+            "ms",
+            "2000 ms",
+            longest <= RESUME_MS * 1_000,
+        );
+        line(
+            &format!("{name}: whole answers of 8"),
+            f64::from(whole),
+            "",
+            "8",
+            whole == 8,
+        );
+    }
+    owner_recovery().await
+}
+
+/// Time from the kill of an owner to the first answer to a new key of its partitions.
+async fn owner_recovery() -> eyre::Result<()> {
+    let mut fleet = Fleet::start(setup()).await?;
+    let before = std::time::Instant::now();
+    fleet.service_agents[0].kill()?;
+    let mut last = Duration::ZERO;
+    for number in 0..24 {
+        let (key, body) = (format!("owner-{number}"), format!("owner body {number}"));
+        while fleet.call(1, "/issue", &key, &body).await?.status != 200 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        last = before.elapsed();
+    }
+    figure(
+        "owner killed: all of 24 new keys answered",
+        last.as_secs_f64() * 1e3,
+        "ms",
+    );
+    Ok(())
+}
+
+fn print_points(points: &[SlopePoint]) {
+    for point in points {
+        println!(
+            "{:<12} {:>6}  {:<34} {:>12.2} {}",
+            point.of, point.count, point.what, point.value, point.unit
+        );
+    }
+}
+
+async fn slopes() -> eyre::Result<()> {
+    figure("one heartbeat as sent", heartbeat_bytes() as f64, "bytes");
+    for count in [750, 1_500, 3_000, 6_000, 12_000] {
+        print_points(&replica_slope(count));
+    }
+    for count in [250, 500, 1_000, 2_000, 4_000] {
+        print_points(&config_slope(count));
+    }
+    process_costs().await
+}
+
+/// Costs of real processes, idle and under load.
+async fn process_costs() -> eyre::Result<()> {
+    let fleet = Fleet::start(setup()).await?;
+    let idle_s = 5;
+    let mark = Marks::take(&fleet)?;
+    tokio::time::sleep(Duration::from_secs(idle_s)).await;
+    mark.print(&fleet, "idle", idle_s as f64, "s")?;
+    let plan = LoadPlan {
+        callers: 40,
+        requests: 120,
+        tokens: 100,
+    };
+    let mark = Marks::take(&fleet)?;
+    let report = load_fleet(&fleet, plan).await;
+    mark.print(&fleet, "load", report.tokens as f64, "token in all")?;
+    figure("load: tokens", report.rate(), "tokens/s");
+    let url = format!("http://{}/stats", fleet.platform.http);
+    let (_, before) = lynxcart::fetch::get(&fleet.client, &url).await?;
+    tokio::time::sleep(Duration::from_secs(idle_s)).await;
+    let (_, after) = lynxcart::fetch::get(&fleet.client, &url).await?;
+    let rate = |name: &str| -> eyre::Result<f64> {
+        let number = |body: &[u8]| -> eyre::Result<f64> {
+            let stats: serde_json::Value = serde_json::from_slice(body)?;
+            Ok(stats[name].as_f64().unwrap_or(0.0))
+        };
+        Ok((number(&after)? - number(&before)?) / idle_s as f64)
+    };
+    figure(
+        "platform: reads, idle, 2 service agents",
+        rate("reads")?,
+        "1/s",
+    );
+    figure(
+        "platform: writes, idle, 2 service agents",
+        rate("writes")?,
+        "1/s",
+    );
+    println!("{}", json!({"heartbeat_bytes": heartbeat_bytes()}));
+    Ok(())
+}
+
+struct Marks(Vec<Duration>);
+
+impl Marks {
+    fn processes(fleet: &Fleet) -> [&FleetProcess; 3] {
+        [
+            &fleet.entries[0],
+            &fleet.agents[0],
+            &fleet.service_agents[0],
+        ]
+    }
+
+    fn take(fleet: &Fleet) -> eyre::Result<Marks> {
+        let processes = Marks::processes(fleet);
+        let times = processes.iter().map(|process| cpu_time(process.id()));
+        Ok(Marks(times.collect::<eyre::Result<_>>()?))
+    }
+
+    fn print(&self, fleet: &Fleet, name: &str, per: f64, unit: &str) -> eyre::Result<()> {
+        for (process, before) in Marks::processes(fleet).iter().zip(&self.0) {
+            let used = cpu_time(process.id())?.saturating_sub(*before);
+            let micros = used.as_secs_f64() * 1e6 / per;
+            figure(
+                &format!("{name}: {}: processor time", process.name),
+                micros,
+                &format!("us per {unit}"),
+            );
+            let memory = resident_kib(process.id())? as f64 / 1024.0;
+            figure(&format!("{name}: {}: memory", process.name), memory, "MiB");
+        }
+        Ok(())
+    }
+}
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -200,6 +200,25 @@
         Ok(fleet)
     }
 
+    /// Starts engines alone, stage by stage, to be driven by hand.
+    ///
+    /// # Errors
+    ///
+    /// When a process cannot be started.
+    pub async fn start_engines(setup: &FleetSetup) -> eyre::Result<Vec<FleetProcess>> {
+        std::fs::create_dir_all(&setup.logs)?;
+        let client = fetch::client();
+        let mut engines = Vec::new();
+        for stage in 0..setup.stages {
+            for replica in 0..setup.replicas {
+                let engine = spawn_engine(setup, stage, replica)?;
+                wait_for(&client, engine.http, "/v1/engine").await?;
+                engines.push(engine);
+            }
+        }
+        Ok(engines)
+    }
+
     fn mail_list(&self) -> String {
         let mails: Vec<String> = self.mails.iter().map(ToString::to_string).collect();
         mails.join(",")
@@ -237,18 +256,8 @@
     ///
     /// When a process cannot be started.
     pub fn start_engine(&mut self, stage: u32, replica: u32) -> eyre::Result<()> {
-        let width = LAYERS / self.setup.stages;
-        let address = free_address()?;
-        let name = format!("engine-{stage}-{replica}");
-        let args = [
-            ("--model", MODEL.to_owned()),
-            ("--first-layer", (stage * width).to_string()),
-            ("--end-layer", ((stage + 1) * width).to_string()),
-            ("--layers", LAYERS.to_string()),
-            ("--step-us", self.setup.step_us.to_string()),
-            ("--batch", self.setup.batch.to_string()),
-        ];
-        let engine = start_process(&self.setup.logs, "engine", &name, address, address, &args)?;
+        let engine = spawn_engine(&self.setup, stage, replica)?;
+        let address = engine.http;
         self.engines.push(engine);
         let upstream = format!("engine={address}");
         let domain = format!("domain-{}", (stage + replica) % 3);
@@ -586,6 +595,21 @@
     })
 }
 
+fn spawn_engine(setup: &FleetSetup, stage: u32, replica: u32) -> eyre::Result<FleetProcess> {
+    let width = LAYERS / setup.stages;
+    let address = free_address()?;
+    let name = format!("engine-{stage}-{replica}");
+    let args = [
+        ("--model", MODEL.to_owned()),
+        ("--first-layer", (stage * width).to_string()),
+        ("--end-layer", ((stage + 1) * width).to_string()),
+        ("--layers", LAYERS.to_string()),
+        ("--step-us", setup.step_us.to_string()),
+        ("--batch", setup.batch.to_string()),
+    ];
+    start_process(&setup.logs, "engine", &name, address, address, &args)
+}
+
 fn start_process(
     logs: &Path,
     program: &str,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,9 +2,12 @@
 //!
 //! Each stand-in is a process of its own with faults that are switched over HTTP at run time.
 
+pub mod direct;
 pub mod engine;
 pub mod fleet;
+pub mod load;
 pub mod model;
 pub mod platform;
 pub mod server;
 pub mod service;
+pub mod slope;
--- /dev/null
+++ b/standins/src/load.rs
@@ -0,0 +1,214 @@
+//! Load on a fleet, and what it measures.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use hdrhistogram::Histogram;
+use http_body_util::BodyExt;
+
+use crate::direct::DirectChain;
+use crate::fleet::Fleet;
+
+/// Longest time that a histogram tells apart, microseconds.
+const LONGEST_US: u64 = 60_000_000;
+
+/// What a load measured.
+#[derive(Clone, Debug)]
+pub struct LoadReport {
+    /// Time to the first token, microseconds.
+    pub first: Histogram<u64>,
+    /// Time between tokens, microseconds.
+    pub between: Histogram<u64>,
+    /// Tokens given.
+    pub tokens: u64,
+    /// Whole answers.
+    pub whole: u64,
+    /// Answers refused or cut.
+    pub failed: u64,
+    /// Time from the first request to the last answer.
+    pub elapsed: Duration,
+}
+
+impl Default for LoadReport {
+    fn default() -> LoadReport {
+        let histogram =
+            || Histogram::new_with_max(LONGEST_US, 3).unwrap_or_else(|_| unreachable!());
+        LoadReport {
+            first: histogram(),
+            between: histogram(),
+            tokens: 0,
+            whole: 0,
+            failed: 0,
+            elapsed: Duration::ZERO,
+        }
+    }
+}
+
+impl LoadReport {
+    /// Takes one token in.
+    pub fn token(&mut self, position: u32, since: Duration) {
+        self.tokens += 1;
+        let micros = u64::try_from(since.as_micros()).unwrap_or(u64::MAX);
+        let histogram = match position {
+            0 => &mut self.first,
+            _ => &mut self.between,
+        };
+        histogram.saturating_record(micros);
+    }
+
+    fn add(&mut self, other: &LoadReport) {
+        // Both have the same bounds.
+        let _ = self.first.add(&other.first);
+        let _ = self.between.add(&other.between);
+        self.tokens += other.tokens;
+        self.whole += other.whole;
+        self.failed += other.failed;
+    }
+
+    /// Tokens a second.
+    pub fn rate(&self) -> f64 {
+        self.tokens as f64 / self.elapsed.as_secs_f64()
+    }
+}
+
+/// A closed loop: so many callers, each of whom asks again when answered.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadPlan {
+    /// Callers.
+    pub callers: u32,
+    /// Requests in all.
+    pub requests: u32,
+    /// Tokens of each answer.
+    pub tokens: u32,
+}
+
+/// Loads a fleet through its entries in turn.
+pub async fn load_fleet(fleet: &Fleet, plan: LoadPlan) -> LoadReport {
+    let next = Arc::new(AtomicU32::new(0));
+    let began = Instant::now();
+    let callers = (0..plan.callers).map(|caller| {
+        let next = next.clone();
+        async move {
+            let mut report = LoadReport::default();
+            loop {
+                let number = next.fetch_add(1, Ordering::Relaxed);
+                if number >= plan.requests {
+                    return report;
+                }
+                let entry = (caller as usize) % fleet.entries.len();
+                let prompt = format!("load {number}");
+                match ask(fleet, entry, &prompt, plan.tokens, &mut report).await {
+                    Ok(true) => report.whole += 1,
+                    Ok(false) | Err(_) => report.failed += 1,
+                }
+            }
+        }
+    });
+    let mut total = LoadReport::default();
+    join_all(callers)
+        .await
+        .iter()
+        .for_each(|report| total.add(report));
+    total.elapsed = began.elapsed();
+    total
+}
+
+/// Streams one answer and times its tokens. Returns whether it was whole.
+///
+/// # Errors
+///
+/// When the entry cannot be reached or the stream breaks.
+pub async fn ask(
+    fleet: &Fleet,
+    entry: usize,
+    prompt: &str,
+    tokens: u32,
+    report: &mut LoadReport,
+) -> eyre::Result<bool> {
+    let mut last = Instant::now();
+    let response = fleet.stream(entry, prompt, tokens).await?;
+    let mut body = response.into_body();
+    let mut position = 0;
+    let mut done = false;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        for line in String::from_utf8_lossy(&data).lines() {
+            done |= line == "data: [DONE]";
+            if line.starts_with("data: {") && line.contains("\"finish_reason\":null") {
+                report.token(position, last.elapsed());
+                last = Instant::now();
+                position += 1;
+            }
+        }
+    }
+    Ok(done && position == tokens)
+}
+
+/// Loads engines by hand, one chain for each replica.
+pub async fn load_direct(chains: &[DirectChain], plan: LoadPlan) -> LoadReport {
+    let next = Arc::new(AtomicU32::new(0));
+    let began = Instant::now();
+    let callers = (0..plan.callers).map(|caller| {
+        let next = next.clone();
+        async move {
+            let mut report = LoadReport::default();
+            loop {
+                let number = next.fetch_add(1, Ordering::Relaxed);
+                if number >= plan.requests {
+                    return report;
+                }
+                let chain = &chains[(caller as usize) % chains.len()];
+                let (name, prompt) = (format!("direct-{number}"), format!("load {number}"));
+                match chain
+                    .generate(&name, &prompt, plan.tokens, &mut report)
+                    .await
+                {
+                    Ok(()) => report.whole += 1,
+                    Err(_) => report.failed += 1,
+                }
+            }
+        }
+    });
+    let mut total = LoadReport::default();
+    join_all(callers)
+        .await
+        .iter()
+        .for_each(|report| total.add(report));
+    total.elapsed = began.elapsed();
+    total
+}
+
+/// Processor time that a process has used, from `/proc`.
+///
+/// # Errors
+///
+/// When the process is gone.
+pub fn cpu_time(process: u32) -> eyre::Result<Duration> {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat"))?;
+    let after = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+    let fields: Vec<&str> = after.split_whitespace().collect();
+    let ticks = |index: usize| {
+        fields
+            .get(index)
+            .and_then(|f| f.parse::<u64>().ok())
+            .unwrap_or(0)
+    };
+    // User and system time stand in fields 14 and 15, in ticks of 10 ms.
+    Ok(Duration::from_millis((ticks(11) + ticks(12)) * 10))
+}
+
+/// Memory that a process holds, KiB, from `/proc`.
+///
+/// # Errors
+///
+/// When the process is gone.
+pub fn resident_kib(process: u32) -> eyre::Result<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status"))?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    Ok(number.unwrap_or(0))
+}
--- /dev/null
+++ b/standins/src/slope.rs
@@ -0,0 +1,229 @@
+//! Slopes of the decision code: time and memory of one entry against replicas, teams, profiles
+//! and requests, driven without sockets, over a factor of 16.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use lynxcart::clock::ClockTime;
+use lynxcart::entry::state::{EntryInput, EntrySetup, EntryState};
+use lynxcart::entry::{CallerRequest, CallerWork};
+use lynxcart::mail::MailEvent;
+use lynxcart::profile::{
+    token_hash, ProfileRecord, ProfileSpec, ProfileTarget, TeamRecord, PROFILE_PREFIX, TEAM_PREFIX,
+};
+use lynxcart::wire::gen::envelope::Body;
+use lynxcart::wire::gen::{heartbeat::Role, ConfigItem, Envelope, Heartbeat, ModelRole};
+use lynxcart::wire::{FrameKeys, MailIn, RequestKey, WIRE_VERSION};
+
+use crate::load::resident_kib;
+
+/// Layers of the model that the replicas serve.
+const LAYERS: u32 = 12;
+const STAGES: u32 = 3;
+
+/// One point of a slope.
+#[derive(Clone, Debug)]
+pub struct SlopePoint {
+    /// What grows.
+    pub of: &'static str,
+    /// How much of it there is.
+    pub count: u32,
+    /// What is measured.
+    pub what: &'static str,
+    /// The figure.
+    pub value: f64,
+    /// Its unit.
+    pub unit: &'static str,
+}
+
+fn heartbeat(replica: u32, sequence: u64) -> Heartbeat {
+    let width = LAYERS / STAGES;
+    let stage = replica % STAGES;
+    Heartbeat {
+        name: format!("replica-{replica}"),
+        admin_address: format!("10.0.{}.{}:8080", replica / 250, replica % 250),
+        failure_domain: format!("domain-{}", replica % 25),
+        region: format!("region-{}", replica % 7),
+        sequence,
+        draining: false,
+        in_flight: replica % 16,
+        limit: 64,
+        pass_micros: 4_000,
+        role: Some(Role::Model(ModelRole {
+            model: format!("model-{}", (replica / STAGES) % 18),
+            first_layer: stage * width,
+            end_layer: (stage + 1) * width,
+            accelerator: format!("kind-{}", replica % 3),
+        })),
+        config_revision: 1_000,
+    }
+}
+
+fn mail(replica: u32, sequence: u64) -> EntryInput {
+    EntryInput::Mail(MailEvent::Received(Box::new(MailIn {
+        from: format!("10.0.{}.{}:7070", replica / 250, replica % 250),
+        incarnation: 1,
+        body: Body::Heartbeat(heartbeat(replica, sequence)),
+    })))
+}
+
+fn entry() -> EntryState {
+    EntryState::new(EntrySetup {
+        address: "10.1.0.1:7070".into(),
+        seeds: Vec::new(),
+        rng_seed: 1,
+    })
+}
+
+/// Bytes of one heartbeat as sent, with its tag.
+pub fn heartbeat_bytes() -> usize {
+    let keys = FrameKeys::from_secrets(&["k".into()]).unwrap_or_else(|| unreachable!());
+    keys.seal(&Envelope {
+        version: WIRE_VERSION,
+        sender: "10.0.47.249:7070".into(),
+        incarnation: u64::MAX,
+        lamport: u64::from(u32::MAX),
+        body: Some(Body::Heartbeat(heartbeat(11_999, 86_400))),
+    })
+    .len()
+}
+
+/// Memory, time per heartbeat and time per choice of a chain, against replicas.
+pub fn replica_slope(count: u32) -> Vec<SlopePoint> {
+    let before = resident_kib(std::process::id()).unwrap_or(0);
+    let mut state = entry();
+    for replica in 0..count {
+        state.handle(ClockTime(1), mail(replica, 1));
+    }
+    let memory = resident_kib(std::process::id())
+        .unwrap_or(0)
+        .saturating_sub(before);
+    let rounds = 20_000 / count + 1;
+    let began = Instant::now();
+    for round in 0..rounds {
+        for replica in 0..count {
+            let now = ClockTime(2 + u64::from(round));
+            black_box(state.handle(now, mail(replica, 2 + u64::from(round))));
+        }
+    }
+    let per_heartbeat = began.elapsed().as_secs_f64() * 1e6 / f64::from(rounds * count);
+    configure(&mut state, 18, 1);
+    let requests = 500;
+    let began = Instant::now();
+    for number in 0..requests {
+        let request = request(number, &format!("profile-{}", number % 18));
+        let now = ClockTime(1_000);
+        black_box(state.handle(now, EntryInput::Caller(request)));
+        black_box(state.handle(now, EntryInput::CallerGone(RequestKey(u128::from(number)))));
+    }
+    let per_choice = began.elapsed().as_secs_f64() * 1e6 / f64::from(requests);
+    let point = |what, value, unit| SlopePoint {
+        of: "replicas",
+        count,
+        what,
+        value,
+        unit,
+    };
+    vec![
+        point("memory", memory as f64, "KiB"),
+        point("time per heartbeat", per_heartbeat, "us"),
+        point("time per request begun and ended", per_choice, "us"),
+    ]
+}
+
+fn request(number: u32, profile: &str) -> CallerRequest {
+    CallerRequest {
+        key: RequestKey(u128::from(number)),
+        token: "token-0".into(),
+        profile: profile.into(),
+        allowed_ms: 60_000,
+        caller_id: String::new(),
+        trace: String::new(),
+        work: CallerWork::Generate {
+            prompt: "p".repeat(2_000),
+            max_tokens: Some(400),
+        },
+    }
+}
+
+fn profile_item(number: u32, revision: u64) -> ConfigItem {
+    let record = ProfileRecord {
+        spec: ProfileSpec {
+            name: format!("profile-{number}"),
+            target: ProfileTarget::Model {
+                model: format!("model-{}", number % 18),
+                layers: LAYERS,
+                max_tokens: 512,
+            },
+        },
+        operator: "ana".into(),
+        accepted_ms: 1_700_000_000_000,
+        write_id: format!("{:032x}", revision),
+    };
+    ConfigItem {
+        key: format!("{PROFILE_PREFIX}profile-{number}"),
+        revision,
+        value: serde_json::to_vec(&record).unwrap_or_default(),
+    }
+}
+
+fn configure(state: &mut EntryState, profiles: u32, teams: u32) {
+    let mut items: Vec<ConfigItem> = (0..profiles)
+        .map(|number| profile_item(number, 1))
+        .collect();
+    items.extend((0..teams).map(|number| {
+        ConfigItem {
+            key: format!("{TEAM_PREFIX}team-{number}"),
+            revision: 1,
+            value: serde_json::to_vec(&TeamRecord {
+                token_hash: token_hash(&format!("token-{number}")),
+                in_flight_limit: 1_000,
+            })
+            .unwrap_or_default(),
+        }
+    }));
+    let now = ClockTime(1_000);
+    state.handle(
+        now,
+        EntryInput::Config {
+            after: 0,
+            complete_to: 1,
+            items,
+        },
+    );
+}
+
+/// Memory and time per change, against configuration keys (a tenth profiles, the rest teams).
+pub fn config_slope(count: u32) -> Vec<SlopePoint> {
+    let before = resident_kib(std::process::id()).unwrap_or(0);
+    let mut state = entry();
+    configure(&mut state, count / 10, count - count / 10);
+    let memory = resident_kib(std::process::id())
+        .unwrap_or(0)
+        .saturating_sub(before);
+    let changes = 500;
+    let began = Instant::now();
+    for number in 0..changes {
+        let revision = 2 + u64::from(number);
+        let input = EntryInput::Config {
+            after: revision - 1,
+            complete_to: revision,
+            items: vec![profile_item(number % (count / 10), revision)],
+        };
+        black_box(state.handle(ClockTime(1_000), input));
+    }
+    let per_change = began.elapsed().as_secs_f64() * 1e6 / f64::from(changes);
+    let bytes = profile_item(1, 1).value.len() as f64;
+    let point = |what, value, unit| SlopePoint {
+        of: "config keys",
+        count,
+        what,
+        value,
+        unit,
+    };
+    vec![
+        point("memory", memory as f64, "KiB"),
+        point("time per change", per_change, "us"),
+        point("bytes of one change", bytes, "bytes"),
+    ]
+}
