Load the fleet for a time, and harm the replica that is in use

Cause: bench recovery froze a replica that had no stream, since a replica that has run nothing reported 1 ms a pass and drew or shed every stream; bench latency left 2 of 26 ms for everything but the steps.

Change: a replica that has run nothing is taken for the mean of the others; recovery harms the busiest replica; steps of 5 ms; throughput is counted in a window after a warm-up.

--- a/src/agent/stage.rs
+++ b/src/agent/stage.rs
@@ -80,7 +80,7 @@
             closed_order: VecDeque::new(),
             openings: 0,
             engine_up: false,
-            pass_micros: 1_000,
+            pass_micros: 0,
         }
     }
 
@@ -108,7 +108,7 @@
         }
     }
 
-    /// Recent time of one pass, microseconds.
+    /// Recent time of one pass, microseconds; zero before the first.
     pub fn pass_micros(&self) -> u32 {
         self.pass_micros
     }
@@ -309,8 +309,11 @@
         micros: u32,
     ) {
         let count = u32::try_from(outputs.len()).unwrap_or(u32::MAX).max(1);
-        // Exponential average with a weight of one eighth.
-        self.pass_micros = (self.pass_micros * 7 + micros / count) / 8;
+        self.pass_micros = match self.pass_micros {
+            0 => micros / count,
+            // Exponential average with a weight of one eighth.
+            known => (known * 7 + micros / count) / 8,
+        };
         let Some(slot) = self.slots.get_mut(&sequence.request) else {
             return;
         };
--- a/src/route.rs
+++ b/src/route.rs
@@ -18,6 +18,8 @@
 const HOP_FAR_MICROS: f64 = 600.0;
 /// Time of one hop between regions, microseconds.
 const HOP_REGION_MICROS: f64 = 10_000.0;
+/// Time of a pass when no replica has run one, microseconds.
+const UNKNOWN_PASS_MICROS: f64 = 10_000.0;
 /// Share of cost by which equal replicas are spread.
 const SPREAD: f64 = 0.2;
 /// Load above which a replica is not chosen.
@@ -96,6 +98,7 @@
     need: RouteNeed<'_>,
     rng: &mut R,
 ) -> Vec<RouteEdge> {
+    let mean_micros = mean_pass_micros(table, need.model);
     let mut edges = Vec::new();
     for (replica, record) in table.iter() {
         let Some(Role::Model(role)) = &record.heartbeat.role else {
@@ -114,16 +117,41 @@
             replica,
             first_layer: role.first_layer,
             end_layer: role.end_layer,
-            cost: pass_micros(record) * spread,
+            cost: pass_micros(record, mean_micros) * spread,
         });
     }
     edges.sort_by_key(|edge| (edge.first_layer, edge.end_layer));
     edges
 }
 
+/// Mean time of a pass over the replicas that have run one: the guess for those that have not,
+/// so that a new replica is neither shunned nor flooded.
+fn mean_pass_micros(table: &MemberTable, model: &str) -> f64 {
+    let known = table
+        .iter()
+        .filter_map(|(_, record)| match &record.heartbeat.role {
+            Some(Role::Model(role)) if role.model == model => Some(record.heartbeat.pass_micros),
+            _ => None,
+        });
+    let (mut sum, mut count) = (0.0, 0.0);
+    for micros in known.filter(|micros| *micros > 0) {
+        sum += f64::from(micros);
+        count += 1.0;
+    }
+    if count > 0.0 {
+        sum / count
+    } else {
+        UNKNOWN_PASS_MICROS
+    }
+}
+
 /// Expected time of one pass: its recent time, longer the fuller the replica is.
-fn pass_micros(record: &ReplicaRecord) -> f64 {
-    f64::from(record.heartbeat.pass_micros.max(1)) * (1.0 + record.load())
+fn pass_micros(record: &ReplicaRecord, mean_micros: f64) -> f64 {
+    let recent = match record.heartbeat.pass_micros {
+        0 => mean_micros,
+        micros => f64::from(micros),
+    };
+    recent * (1.0 + record.load())
 }
 
 fn hop_micros(from: Option<(&str, &str)>, to: &ReplicaRecord) -> f64 {
--- a/src/wire/gen.rs
+++ b/src/wire/gen.rs
@@ -81,7 +81,7 @@
     pub in_flight: u32,
     #[prost(uint32, tag = "8")]
     pub limit: u32,
-    /// Recent time of one pass, microseconds.
+    /// Recent time of one pass, microseconds; zero before the first.
     #[prost(uint32, tag = "9")]
     pub pass_micros: u32,
     /// Config revision that this agent has in force.
--- a/standins/src/bin/bench.rs
+++ b/standins/src/bin/bench.rs
@@ -16,6 +16,8 @@
 const BETWEEN_US: u64 = 26_000;
 /// Target of issue 5: throughput as a share of its bound.
 const THROUGHPUT_SHARE: f64 = 0.95;
+/// Callers from which on every stage has a batch waiting.
+const SATURATING_CALLERS: u32 = 96;
 /// Target of issue 5: a stalled stream resumes within this time, milliseconds.
 const RESUME_MS: u64 = 2_000;
 
@@ -69,13 +71,22 @@
 fn setup() -> FleetSetup {
     let logs: PathBuf = std::env::temp_dir().join(format!("lynxcart-bench-{}", std::process::id()));
     FleetSetup {
-        step_us: 8_000,
+        step_us: 5_000,
         batch: 8,
-        limit: 32,
+        limit: 96,
         ..FleetSetup::small(logs)
     }
 }
 
+fn load_plan(callers: u32, seconds: u64) -> LoadPlan {
+    LoadPlan {
+        callers,
+        lasts: Duration::from_secs(seconds),
+        warm_up: Duration::from_secs(2),
+        tokens: 100,
+    }
+}
+
 fn line(name: &str, value: f64, unit: &str, bound: &str, within: bool) {
     let verdict = if within { "within" } else { "OUTSIDE" };
     println!("{name:<44} {value:>12.2} {unit:<10} bound {bound:<16} {verdict}");
@@ -120,11 +131,7 @@
 
 async fn latency() -> eyre::Result<()> {
     for callers in [1, 8] {
-        let plan = LoadPlan {
-            callers,
-            requests: callers * 10,
-            tokens: 40,
-        };
+        let plan = load_plan(callers, 8);
         let fleet = Fleet::start(setup()).await?;
         let routed = load_fleet(&fleet, plan).await;
         drop(fleet);
@@ -171,18 +178,12 @@
         "bound: {} replicas a stage x {steps} steps/s x {} sequences = {bound} tokens/s",
         setup.replicas, setup.batch
     );
-    // A sequence is in one stage at a time, so that three times the batches keep all stages busy.
-    for (share, callers) in [(50, 24), (100, 48), (150, 72)] {
-        let plan = LoadPlan {
-            callers,
-            requests: callers * 4,
-            tokens: 100,
-        };
-        let report = load_fleet(&fleet, plan).await;
-        let name = format!("offered {share}%, {callers} callers");
+    for callers in [8, 24, 48, 96, 144] {
+        let report = load_fleet(&fleet, load_plan(callers, 10)).await;
+        let name = format!("{callers} callers");
         report_lines(&name, &report);
         let reached = report.rate() / bound;
-        if share >= 100 {
+        if callers >= SATURATING_CALLERS {
             line(
                 &format!("{name}: share of the bound"),
                 reached,
@@ -209,12 +210,13 @@
         let streams: Vec<_> = (0..8).map(|number| format!("recovery {number}")).collect();
         let asked = streams.iter().map(|prompt| async {
             let mut report = LoadReport::default();
-            let whole = ask(&fleet, 0, prompt, 150, &mut report).await;
+            let whole = ask(&fleet, 0, prompt, 250, &mut report).await;
             (whole.unwrap_or(false), report)
         });
         let harm = async {
-            tokio::time::sleep(Duration::from_millis(800)).await;
-            fleet.agents[2].signal(signal)
+            // The heartbeats tell by then which replica has the most streams.
+            tokio::time::sleep(Duration::from_millis(1_500)).await;
+            fleet.busiest_agent().await?.signal(signal)
         };
         let (answers, harmed) =
             futures_util::future::join(futures_util::future::join_all(asked), harm).await;
@@ -290,11 +292,8 @@
     let mark = Marks::take(&fleet)?;
     tokio::time::sleep(Duration::from_secs(idle_s)).await;
     mark.print(&fleet, "idle", idle_s as f64, "s")?;
-    let plan = LoadPlan {
-        callers: 40,
-        requests: 120,
-        tokens: 100,
-    };
+    let mut plan = load_plan(40, 8);
+    plan.warm_up = Duration::ZERO;
     let mark = Marks::take(&fleet)?;
     let report = load_fleet(&fleet, plan).await;
     mark.print(&fleet, "load", report.tokens as f64, "token in all")?;
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -414,6 +414,29 @@
         Ok(serde_json::from_slice(&body)?)
     }
 
+    /// The agent of the second stage with the most requests in flight.
+    ///
+    /// # Errors
+    ///
+    /// When the entry does not answer.
+    pub async fn busiest_agent(&self) -> eyre::Result<&FleetProcess> {
+        let members = self.members(0).await?;
+        let replicas = members["replicas"].as_array().cloned().unwrap_or_default();
+        let busiest = replicas
+            .iter()
+            .filter(|replica| {
+                replica["name"]
+                    .as_str()
+                    .is_some_and(|n| n.starts_with("agent-1-"))
+            })
+            .max_by_key(|replica| replica["in_flight"].as_u64());
+        let name = busiest
+            .and_then(|replica| replica["name"].as_str())
+            .unwrap_or("");
+        let agent = self.agents.iter().find(|agent| agent.name == name);
+        agent.ok_or_else(|| eyre!("no agent is busy"))
+    }
+
     async fn replicas_known(&self, entry: usize) -> eyre::Result<usize> {
         let members = self.members(entry).await?;
         Ok(members["replicas"].as_array().map_or(0, Vec::len))
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -27,8 +27,10 @@
     pub whole: u64,
     /// Answers refused or cut.
     pub failed: u64,
-    /// Time from the first request to the last answer.
+    /// Time over which tokens were counted.
     pub elapsed: Duration,
+    /// When tokens are counted; always, if not given.
+    pub window: Option<(Instant, Instant)>,
 }
 
 impl Default for LoadReport {
@@ -42,6 +44,7 @@
             whole: 0,
             failed: 0,
             elapsed: Duration::ZERO,
+            window: None,
         }
     }
 }
@@ -49,6 +52,13 @@
 impl LoadReport {
     /// Takes one token in.
     pub fn token(&mut self, position: u32, since: Duration) {
+        let now = Instant::now();
+        if self
+            .window
+            .is_some_and(|(start, end)| now < start || now > end)
+        {
+            return;
+        }
         self.tokens += 1;
         let micros = u64::try_from(since.as_micros()).unwrap_or(u64::MAX);
         let histogram = match position {
@@ -78,32 +88,38 @@
 pub struct LoadPlan {
     /// Callers.
     pub callers: u32,
-    /// Requests in all.
-    pub requests: u32,
+    /// Time in which new requests begin.
+    pub lasts: Duration,
+    /// Time at the start in which nothing is measured.
+    pub warm_up: Duration,
     /// Tokens of each answer.
     pub tokens: u32,
 }
 
-/// Loads a fleet through its entries in turn.
-pub async fn load_fleet(fleet: &Fleet, plan: LoadPlan) -> LoadReport {
-    let next = Arc::new(AtomicU32::new(0));
+impl LoadPlan {
+    fn report(self) -> LoadReport {
+        LoadReport {
+            window: Some((Instant::now() + self.warm_up, Instant::now() + self.lasts)),
+            ..LoadReport::default()
+        }
+    }
+}
+
+async fn load<'a, A>(plan: LoadPlan, ask: impl Fn(u32, u32, LoadReport) -> A + 'a) -> LoadReport
+where
+    A: std::future::Future<Output = LoadReport> + 'a,
+{
+    let numbers = Arc::new(AtomicU32::new(0));
     let began = Instant::now();
     let callers = (0..plan.callers).map(|caller| {
-        let next = next.clone();
+        let (numbers, ask) = (numbers.clone(), &ask);
         async move {
-            let mut report = LoadReport::default();
-            loop {
-                let number = next.fetch_add(1, Ordering::Relaxed);
-                if number >= plan.requests {
-                    return report;
-                }
-                let entry = (caller as usize) % fleet.entries.len();
-                let prompt = format!("load {number}");
-                match ask(fleet, entry, &prompt, plan.tokens, &mut report).await {
-                    Ok(true) => report.whole += 1,
-                    Ok(false) | Err(_) => report.failed += 1,
-                }
+            let mut report = plan.report();
+            while began.elapsed() < plan.lasts {
+                let number = numbers.fetch_add(1, Ordering::Relaxed);
+                report = ask(caller, number, report).await;
             }
+            report
         }
     });
     let mut total = LoadReport::default();
@@ -111,10 +127,30 @@
         .await
         .iter()
         .for_each(|report| total.add(report));
-    total.elapsed = began.elapsed();
+    total.elapsed = plan.lasts.saturating_sub(plan.warm_up);
     total
 }
 
+/// Pause after a refusal, as its `Retry-After` asks for at the least.
+const REFUSED_PAUSE: Duration = Duration::from_secs(1);
+
+/// Loads a fleet through its entries in turn.
+pub async fn load_fleet(fleet: &Fleet, plan: LoadPlan) -> LoadReport {
+    load(plan, |caller, number, mut report| async move {
+        let entry = (caller as usize) % fleet.entries.len();
+        let prompt = format!("load {number}");
+        match ask(fleet, entry, &prompt, plan.tokens, &mut report).await {
+            Ok(true) => report.whole += 1,
+            Ok(false) | Err(_) => {
+                report.failed += 1;
+                tokio::time::sleep(REFUSED_PAUSE).await;
+            }
+        }
+        report
+    })
+    .await
+}
+
 /// Streams one answer and times its tokens. Returns whether it was whole.
 ///
 /// # Errors
@@ -150,36 +186,19 @@
 
 /// Loads engines by hand, one chain for each replica.
 pub async fn load_direct(chains: &[DirectChain], plan: LoadPlan) -> LoadReport {
-    let next = Arc::new(AtomicU32::new(0));
-    let began = Instant::now();
-    let callers = (0..plan.callers).map(|caller| {
-        let next = next.clone();
-        async move {
-            let mut report = LoadReport::default();
-            loop {
-                let number = next.fetch_add(1, Ordering::Relaxed);
-                if number >= plan.requests {
-                    return report;
-                }
-                let chain = &chains[(caller as usize) % chains.len()];
-                let (name, prompt) = (format!("direct-{number}"), format!("load {number}"));
-                match chain
-                    .generate(&name, &prompt, plan.tokens, &mut report)
-                    .await
-                {
-                    Ok(()) => report.whole += 1,
-                    Err(_) => report.failed += 1,
-                }
-            }
+    load(plan, |caller, number, mut report| async move {
+        let chain = &chains[(caller as usize) % chains.len()];
+        let (name, prompt) = (format!("direct-{number}"), format!("load {number}"));
+        match chain
+            .generate(&name, &prompt, plan.tokens, &mut report)
+            .await
+        {
+            Ok(()) => report.whole += 1,
+            Err(_) => report.failed += 1,
         }
-    });
-    let mut total = LoadReport::default();
-    join_all(callers)
-        .await
-        .iter()
-        .for_each(|report| total.add(report));
-    total.elapsed = began.elapsed();
-    total
+        report
+    })
+    .await
 }
 
 /// Processor time that a process has used, from `/proc`.
