Choose replicas by engine speed and fresh word of their load

Agents reported the mean time of a pass with the wait in their own queue in it, so that after a burst every entry took the replica that had been idle for the faster one, and the next burst went there whole.

Change: agents report the least time that a pass would have taken alone, by the same model that entries choose by; StageOpened carries the agent's load, so that an entry does not wait a heartbeat for others' work. The burst test takes a third of the speed for a third of the speed: the case that was named for a busy replica is proved at the agent now, to 10 us, for 1 to 64 in flight.

--- a/src/agent/stage.rs
+++ b/src/agent/stage.rs
@@ -8,6 +8,7 @@
 use crate::agent::{AgentContext, AgentOutput, EngineOrder, EngineOutput, SequenceKey};
 use crate::clock::ClockTime;
 use crate::event::{EventKind, EventNote};
+use crate::route::DOUBLING_IN_FLIGHT;
 use crate::wire::gen::envelope::Body;
 use crate::wire::gen::{
     ModelRole, RefusalCode, StageClose, StageHop, StageOpen, StageOpened, StagePass, StageRefused,
@@ -17,6 +18,8 @@
 
 /// A stage without a message for this long is dropped, milliseconds.
 const IDLE_MS: u64 = 60_000;
+/// Span over which the least time of a pass is kept, milliseconds.
+const PASS_SPAN_MS: u64 = 2_000;
 /// Passes that may wait for their open, per agent.
 const EARLY_LIMIT: usize = 256;
 /// Closed requests remembered, so that a late open does not bring one back.
@@ -54,6 +57,39 @@
     }
 }
 
+/// The least time that a pass would have taken alone, over the last one to two spans of
+/// [`PASS_SPAN_MS`]: the speed of the engine itself. With the wait in its queue in it, entries
+/// that follow it would rush from a replica that was busy to one that was not.
+#[derive(Clone, Copy, Debug, Default)]
+struct PassWindow {
+    span: u64,
+    current: u32,
+    before: u32,
+}
+
+impl PassWindow {
+    fn record(&mut self, now: ClockTime, micros: u32) {
+        let span = now.0 / PASS_SPAN_MS;
+        if span != self.span {
+            self.before = self.current;
+            self.current = 0;
+            self.span = span;
+        }
+        let micros = micros.max(1);
+        if self.current == 0 || micros < self.current {
+            self.current = micros;
+        }
+    }
+
+    fn least(&self) -> u32 {
+        match (self.current, self.before) {
+            (0, before) => before,
+            (current, 0) => current,
+            (current, before) => current.min(before),
+        }
+    }
+}
+
 /// The stages at one agent.
 #[derive(Debug)]
 pub struct StageTable {
@@ -65,7 +101,7 @@
     closed_order: VecDeque<RequestKey>,
     openings: u64,
     engine_up: bool,
-    pass_micros: u32,
+    passes: PassWindow,
 }
 
 impl StageTable {
@@ -80,7 +116,7 @@
             closed_order: VecDeque::new(),
             openings: 0,
             engine_up: false,
-            pass_micros: 0,
+            passes: PassWindow::default(),
         }
     }
 
@@ -108,9 +144,9 @@
         }
     }
 
-    /// Recent time of one pass, microseconds; zero before the first.
+    /// Least time of one pass alone lately, microseconds; zero before the first.
     pub fn pass_micros(&self) -> u32 {
-        self.pass_micros
+        self.passes.least()
     }
 
     /// Opens a stage, or re-links one that is open.
@@ -133,6 +169,7 @@
         if !known {
             self.insert(cx, from, key, &open);
         }
+        let in_flight = u32::try_from(self.slots.len()).unwrap_or(u32::MAX);
         let Some(slot) = self.slots.get_mut(&key) else {
             return;
         };
@@ -155,6 +192,7 @@
             attempt: slot.attempt,
             stage: open.stage,
             next_position: slot.next_position,
+            in_flight,
         };
         cx.mail(from, Body::StageOpened(opened));
         if known {
@@ -309,11 +347,8 @@
         micros: u32,
     ) {
         let count = u32::try_from(outputs.len()).unwrap_or(u32::MAX).max(1);
-        self.pass_micros = match self.pass_micros {
-            0 => micros / count,
-            // Exponential average with a weight of one eighth.
-            known => (known * 7 + micros / count) / 8,
-        };
+        let alone = alone_micros(micros / count, self.slots.len());
+        self.passes.record(cx.now, alone);
         let Some(slot) = self.slots.get_mut(&sequence.request) else {
             return;
         };
@@ -369,6 +404,14 @@
     }
 }
 
+/// What a pass would have taken alone, by the model that entries choose by.
+fn alone_micros(micros: u32, in_flight: usize) -> u32 {
+    let others = u32::try_from(in_flight.saturating_sub(1)).unwrap_or(u32::MAX);
+    let scaled = u64::from(micros) * DOUBLING_IN_FLIGHT
+        / DOUBLING_IN_FLIGHT.saturating_add(u64::from(others));
+    u32::try_from(scaled).unwrap_or(u32::MAX)
+}
+
 fn refuse(cx: &mut AgentContext, to: &str, open: &StageOpen, code: RefusalCode) {
     let refused = StageRefused {
         request: open.request,
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -150,6 +150,7 @@
     /// A stage accepted an attempt.
     pub fn stage_opened(&mut self, cx: &mut EntryContext, from: &str, message: &StageOpened) {
         let key = RequestKey::from(message.request.unwrap_or_default());
+        cx.members.hear_load(from, message.in_flight);
         let Some(slot) = self.slots.get_mut(&key) else {
             close_stage(cx, from, key, u32::MAX);
             return;
--- a/src/member.rs
+++ b/src/member.rs
@@ -46,12 +46,16 @@
 }
 
 impl ReplicaRecord {
-    /// Expected load as a share of its limit: what it said last, corrected by what this entry
+    /// Requests expected to be in flight on it: what it said last, corrected by what this entry
     /// has begun and ended since.
-    pub fn load(&self) -> f64 {
+    pub fn expected_in_flight(&self) -> f64 {
         let begun = f64::from(self.own_in_flight) - f64::from(self.own_at_heartbeat);
-        let busy = (f64::from(self.heartbeat.in_flight) + begun).max(f64::from(self.own_in_flight));
-        busy / f64::from(self.heartbeat.limit.max(1))
+        (f64::from(self.heartbeat.in_flight) + begun).max(f64::from(self.own_in_flight))
+    }
+
+    /// Expected load as a share of its limit.
+    pub fn load(&self) -> f64 {
+        self.expected_in_flight() / f64::from(self.heartbeat.limit.max(1))
     }
 
     /// Whether it may get new work now.
@@ -191,6 +195,14 @@
         gone
     }
 
+    /// Takes in what an agent said of its load beside the point, between heartbeats.
+    pub fn hear_load(&mut self, address: &str, in_flight: u32) {
+        if let Some(record) = self.record_mut(address) {
+            record.heartbeat.in_flight = in_flight;
+            record.own_at_heartbeat = record.own_in_flight;
+        }
+    }
+
     /// A request of ours began on a replica.
     pub fn begin(&mut self, address: &str) {
         if let Some(record) = self.record_mut(address) {
--- a/src/route.rs
+++ b/src/route.rs
@@ -20,6 +20,8 @@
 const HOP_REGION_MICROS: f64 = 10_000.0;
 /// Time of a pass when no replica has run one, microseconds.
 const UNKNOWN_PASS_MICROS: f64 = 10_000.0;
+/// Requests in flight that double the time of a pass.
+pub const DOUBLING_IN_FLIGHT: u64 = 16;
 /// Share of cost by which equal replicas are spread.
 const SPREAD: f64 = 0.2;
 /// Load above which a replica is not chosen.
@@ -145,13 +147,13 @@
     }
 }
 
-/// Expected time of one pass: its recent time, longer the fuller the replica is.
+/// Expected time of one pass: that of the engine, longer the more it has in flight.
 fn pass_micros(record: &ReplicaRecord, mean_micros: f64) -> f64 {
     let recent = match record.heartbeat.pass_micros {
         0 => mean_micros,
         micros => f64::from(micros),
     };
-    recent * (1.0 + record.load())
+    recent * (1.0 + record.expected_in_flight() / DOUBLING_IN_FLIGHT as f64)
 }
 
 fn hop_micros(from: Option<(&str, &str)>, to: &ReplicaRecord) -> f64 {
--- a/src/wire/gen.rs
+++ b/src/wire/gen.rs
@@ -81,7 +81,7 @@
     pub in_flight: u32,
     #[prost(uint32, tag = "8")]
     pub limit: u32,
-    /// Recent time of one pass, microseconds; zero before the first.
+    /// Least time of one pass alone lately, microseconds; zero before the first.
     #[prost(uint32, tag = "9")]
     pub pass_micros: u32,
     /// Config revision that this agent has in force.
@@ -215,6 +215,9 @@
     /// Next position that the stage will run.
     #[prost(uint32, tag = "4")]
     pub next_position: u32,
+    /// Requests in flight at the agent, from all entries.
+    #[prost(uint32, tag = "5")]
+    pub in_flight: u32,
 }
 /// The stage has not run this attempt and will not.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- /dev/null
+++ b/tests/route.rs
@@ -0,0 +1,182 @@
+//! Choice of chains: coverage, spread, and what a burst does with stale reports.
+
+use std::collections::{HashMap, HashSet};
+
+use lynxcart::clock::ClockTime;
+use lynxcart::member::{MemberTable, ReplicaState};
+use lynxcart::route::{choose_chain, covers, RouteNeed};
+use lynxcart::wire::gen::{heartbeat::Role, Heartbeat, ModelRole};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+const NOW: ClockTime = ClockTime(1_000);
+
+#[derive(Clone, Copy, Debug)]
+struct Replica {
+    first: u32,
+    end: u32,
+    in_flight: u32,
+    pass_micros: u32,
+}
+
+fn table(replicas: &[Replica]) -> MemberTable {
+    let mut table = MemberTable::default();
+    for (index, replica) in replicas.iter().enumerate() {
+        let heartbeat = Heartbeat {
+            failure_domain: format!("d{}", index % 3),
+            region: "r".into(),
+            sequence: 1,
+            in_flight: replica.in_flight,
+            limit: 96,
+            pass_micros: replica.pass_micros,
+            role: Some(Role::Model(ModelRole {
+                model: "m".into(),
+                first_layer: replica.first,
+                end_layer: replica.end,
+                accelerator: "a".into(),
+            })),
+            ..Heartbeat::default()
+        };
+        table.hear(NOW, &format!("a{index}"), 1, heartbeat);
+    }
+    table
+}
+
+fn need(avoid: &HashSet<String>) -> RouteNeed<'_> {
+    RouteNeed {
+        model: "m",
+        first_layer: 0,
+        end_layer: 12,
+        avoid,
+        from: None,
+    }
+}
+
+/// Starts `count` requests at once and counts where they go.
+fn burst(table: &mut MemberTable, count: u32) -> HashMap<String, u32> {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut chosen = HashMap::new();
+    for _ in 0..count {
+        let avoid = HashSet::new();
+        let chain = choose_chain(table, NOW, need(&avoid), &mut rng).expect("a chain");
+        for hop in chain {
+            table.begin(&hop.address);
+            *chosen.entry(hop.address).or_default() += 1;
+        }
+    }
+    chosen
+}
+
+#[test]
+fn a_burst_is_spread_whatever_stale_reports_say() {
+    struct BurstCase {
+        name: &'static str,
+        pass_micros: [u32; 2],
+        /// Least and most share of the burst for the first replica.
+        share: (f64, f64),
+    }
+    let cases = [
+        BurstCase {
+            name: "alike",
+            pass_micros: [5_000, 5_000],
+            share: (0.4, 0.6),
+        },
+        BurstCase {
+            name: "one has run nothing",
+            pass_micros: [5_000, 0],
+            share: (0.4, 0.6),
+        },
+        BurstCase {
+            name: "a third of the speed",
+            pass_micros: [15_000, 5_000],
+            share: (0.1, 0.25),
+        },
+    ];
+    for case in cases {
+        let replicas = case.pass_micros.map(|pass_micros| Replica {
+            first: 0,
+            end: 12,
+            in_flight: 0,
+            pass_micros,
+        });
+        let chosen = burst(&mut table(&replicas), 96);
+        let share = f64::from(chosen.get("a0").copied().unwrap_or(0)) / 96.0;
+        let (least, most) = case.share;
+        assert!((least..=most).contains(&share), "{}: {chosen:?}", case.name);
+    }
+}
+
+#[test]
+fn a_suspect_or_silent_replica_is_not_chosen_until_heard_again() {
+    let replica = Replica {
+        first: 0,
+        end: 12,
+        in_flight: 0,
+        pass_micros: 5_000,
+    };
+    let mut table = table(&[replica]);
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let avoid = HashSet::new();
+    assert!(choose_chain(&table, NOW, need(&avoid), &mut rng).is_some());
+    assert!(choose_chain(&table, NOW + 3_000, need(&avoid), &mut rng).is_none());
+    table.suspect("a0");
+    assert!(choose_chain(&table, NOW, need(&avoid), &mut rng).is_none());
+    let mut heartbeat = table.by_address("a0").expect("known").heartbeat.clone();
+    // One that was on its way already says nothing new.
+    table.hear(NOW, "a0", 1, heartbeat.clone());
+    assert!(choose_chain(&table, NOW, need(&avoid), &mut rng).is_none());
+    heartbeat.sequence += 1;
+    table.hear(NOW, "a0", 1, heartbeat.clone());
+    assert!(choose_chain(&table, NOW, need(&avoid), &mut rng).is_some());
+    // Leaving is for good, within one start.
+    heartbeat.sequence += 1;
+    heartbeat.draining = true;
+    table.hear(NOW, "a0", 1, heartbeat.clone());
+    heartbeat.sequence += 1;
+    heartbeat.draining = false;
+    table.hear(NOW, "a0", 1, heartbeat);
+    assert_eq!(
+        table.by_address("a0").expect("known").state,
+        ReplicaState::Draining
+    );
+    assert!(choose_chain(&table, NOW, need(&avoid), &mut rng).is_none());
+}
+
+fn replicas() -> impl Strategy<Value = Vec<Replica>> {
+    let replica = (0..12u32, 1..=12u32, 0..96u32, 0..20_000u32);
+    let replica = replica.prop_filter_map("a range", |(first, end, in_flight, pass_micros)| {
+        (first < end).then_some(Replica {
+            first,
+            end,
+            in_flight,
+            pass_micros,
+        })
+    });
+    proptest::collection::vec(replica, 0..24)
+}
+
+/// Whether the ranges can be joined to cover every layer.
+fn coverable(replicas: &[Replica]) -> bool {
+    let mut reached = HashSet::from([0]);
+    for layer in 0..12 {
+        if reached.contains(&layer) {
+            reached.extend(replicas.iter().filter(|r| r.first == layer).map(|r| r.end));
+        }
+    }
+    reached.contains(&12)
+}
+
+proptest! {
+    #[test]
+    fn a_chain_is_found_if_there_is_one_and_covers_each_layer_once(replicas in replicas(), seed: u64) {
+        let table = table(&replicas);
+        let avoid = HashSet::new();
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let chain = choose_chain(&table, NOW, need(&avoid), &mut rng);
+        prop_assert_eq!(chain.is_some(), coverable(&replicas));
+        if let Some(chain) = chain {
+            prop_assert!(covers(&chain, 0, 12));
+        }
+    }
+}
--- /dev/null
+++ b/tests/stage.rs
@@ -0,0 +1,63 @@
+//! What an agent says of its engine's speed does not depend on how busy the engine was.
+
+use lynxcart::agent::stage::StageTable;
+use lynxcart::agent::{AgentContext, EngineOutput, SequenceKey};
+use lynxcart::wire::gen::{ModelRole, StageHop, StageOpen};
+use lynxcart::wire::RequestKey;
+
+/// Time of a pass of an engine with nothing else to do, microseconds.
+const ALONE_US: u32 = 5_000;
+/// Requests in flight that double it.
+const DOUBLING: u32 = 16;
+
+#[test]
+fn a_busy_engine_is_reported_as_fast_as_an_idle_one() {
+    for in_flight in [1, 8, 17, 33, 64] {
+        let role = ModelRole {
+            model: "m".into(),
+            first_layer: 0,
+            end_layer: 4,
+            accelerator: "a".into(),
+        };
+        let mut table = StageTable::new(role, 64);
+        let mut cx = AgentContext::default();
+        table.engine_up();
+        for number in 0..in_flight {
+            let open = StageOpen {
+                request: Some(RequestKey(u128::from(number)).into()),
+                attempt: 1,
+                chain: vec![
+                    StageHop {
+                        address: "a".into(),
+                        first_layer: 0,
+                        end_layer: 4,
+                    },
+                    StageHop {
+                        address: "b".into(),
+                        first_layer: 4,
+                        end_layer: 8,
+                    },
+                ],
+                model: "m".into(),
+                max_tokens: 4,
+                prompt: "p".into(),
+                fresh: true,
+                ..StageOpen::default()
+            };
+            table.open(&mut cx, "entry", open, false);
+        }
+        for number in 0..in_flight {
+            let sequence = SequenceKey {
+                request: RequestKey(u128::from(number)),
+                opening: u64::from(number) + 1,
+            };
+            let micros = ALONE_US + ALONE_US * (in_flight - 1) / DOUBLING;
+            table.engine_done(&mut cx, sequence, 0, vec![EngineOutput::default()], micros);
+        }
+        let said = table.pass_micros();
+        assert!(
+            said.abs_diff(ALONE_US) <= 10,
+            "{in_flight} in flight: {said} us"
+        );
+    }
+}
