Tell callers' entries of a taken partition at once, and prove profiles

Ruled out: the lease (3 s, by setting) and the poll (0.5 s), which are the price of few calls on the platform.

An acceptance asked for again after a lost answer is told the revision that ended the draft.

--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -92,6 +92,8 @@
     sequence: u64,
     config_revision: u64,
     draining: bool,
+    /// Partitions as the last heartbeat gave them.
+    said_owned: Vec<u32>,
 }
 
 impl AgentState {
@@ -121,6 +123,7 @@
             sequence: 0,
             config_revision: 0,
             draining: false,
+            said_owned: Vec::new(),
         }
     }
 
@@ -271,6 +274,12 @@
     fn fire(&mut self) {
         if let UpstreamTable::Operations(table) = &mut self.table {
             table.tick(&mut self.cx);
+            let owned = table.owner().owned();
+            if owned != self.said_owned {
+                // Callers of these keys wait for the news.
+                self.said_owned = owned;
+                self.heartbeat_at = self.cx.now;
+            }
         }
         if self.cx.now < self.heartbeat_at {
             return;
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -128,8 +128,7 @@
         let name = path.strip_suffix("/accept").unwrap_or(path);
         let draft_key = draft_key(name, &operator);
         let Some(item) = self.read(&draft_key).await? else {
-            let detail = format!("operator \"{operator}\" has no draft of profile \"{name}\"");
-            return Err(RequestRefusal::not_run(RefusalReason::NotFound, detail));
+            return self.accepted_before(&operator, name).await;
         };
         let draft: DraftRecord = serde_json::from_slice(&item.value).map_err(|error| {
             let detail = format!("could not read the draft: {error}");
@@ -151,6 +150,22 @@
         ))
     }
 
+    /// There is no draft: an acceptance whose answer was lost may have ended it.
+    async fn accepted_before(&self, operator: &str, name: &str) -> DeskResult {
+        let item = self.read(&format!("{PROFILE_PREFIX}{name}")).await?;
+        let stored = item.and_then(|item| Some((item.mod_revision, parse_record(&item.value)?)));
+        match stored {
+            Some((revision, record)) if record.operator == operator => Ok(answer_json(
+                200,
+                &json!({"revision": revision, "record": record}),
+            )),
+            _ => {
+                let detail = format!("operator \"{operator}\" has no draft of profile \"{name}\"");
+                Err(RequestRefusal::not_run(RefusalReason::NotFound, detail))
+            }
+        }
+    }
+
     /// Writes a record if its base is still in force. Returns the revision of the write.
     async fn write(
         &self,
