Stop a request that kills engines, and let the others finish

Change: an agent whose engine dies says which requests are to blame: the one suspect on probation, or all. A suspect is taken by an agent one at a time, until it is three positions past where it was; a second death quarantines its team, model and prompt for ten minutes at every entry.

Ruled out by trials: no limit, suspects not kept apart, all blamed, other entries not told: each caught. The last was not, until the test sent the resend at once.

Also: ports of test fleets are given out once and lie below those that systems take for connections; two fleets at once had met on a port.

Conclusion: at most 2 engines die of one request that its agents can name; a request that takes whole VMs down may take 4.

--- a/src/agent/stage.rs
+++ b/src/agent/stage.rs
@@ -18,6 +18,8 @@
 
 /// A stage without a message for this long is dropped, milliseconds.
 const IDLE_MS: u64 = 60_000;
+/// Positions that a suspect must run beyond those it had when its last upstream died.
+const PROBATION_POSITIONS: u32 = 3;
 /// Span over which the least time of a pass is kept, milliseconds.
 const PASS_SPAN_MS: u64 = 2_000;
 /// Passes that may wait for their open, per agent.
@@ -44,6 +46,8 @@
     submitted: u32,
     /// Outputs of positions 0 and on.
     outputs: Vec<EngineOutput>,
+    /// A suspect is on probation until it has run this many positions.
+    probation: Option<u32>,
     touched: ClockTime,
 }
 
@@ -52,6 +56,10 @@
         u32::try_from(self.outputs.len()).unwrap_or(u32::MAX)
     }
 
+    fn on_probation(&self) -> bool {
+        self.probation.is_some_and(|end| self.done() < end)
+    }
+
     fn is_last(&self) -> bool {
         self.stage + 1 == self.chain.len()
     }
@@ -224,7 +232,9 @@
         if !open.fresh {
             return Some(RefusalCode::UnknownRequest);
         }
-        (self.slots.len() >= self.limit).then_some(RefusalCode::Busy)
+        let probation = self.slots.values().any(StageSlot::on_probation);
+        let full = self.slots.len() >= self.limit || (open.suspect && probation);
+        full.then_some(RefusalCode::Busy)
     }
 
     fn insert(&mut self, cx: &mut AgentContext, from: &str, key: RequestKey, open: &StageOpen) {
@@ -244,6 +254,7 @@
             queue: VecDeque::new(),
             submitted: 0,
             outputs: Vec::new(),
+            probation: open.suspect.then_some(open.given + PROBATION_POSITIONS),
             touched: cx.now,
         };
         self.slots.insert(key, slot);
@@ -371,8 +382,11 @@
     }
 
     /// The engine died: every request here has lost its state.
+    ///
+    /// If a suspect was on probation, the death is laid to it alone.
     pub fn engine_lost(&mut self, cx: &mut AgentContext) {
         self.engine_up = false;
+        let probation = self.slots.values().any(StageSlot::on_probation);
         for (key, slot) in std::mem::take(&mut self.slots) {
             let refused = StageRefused {
                 request: Some(key.into()),
@@ -380,6 +394,7 @@
                 stage: u32::try_from(slot.stage).unwrap_or(u32::MAX),
                 code: RefusalCode::UpstreamLost.into(),
                 retry_after_ms: 0,
+                blamed: !probation || slot.on_probation(),
             };
             cx.mail(&slot.reply_to, Body::StageRefused(refused));
         }
@@ -419,6 +434,7 @@
         stage: open.stage,
         code: code.into(),
         retry_after_ms: BUSY_RETRY_MS,
+        blamed: false,
     };
     cx.mail(to, Body::StageRefused(refused));
 }
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, HashSet};
 
 use crate::clock::ClockTime;
+use crate::entry::crash::{CrashFingerprint, CRASH_LIMIT, QUARANTINE_MS};
 use crate::entry::{AnswerEvent, EntryContext};
 use crate::event::{EventKind, EventNote};
 use crate::route::{choose_chain, covers, RouteNeed};
@@ -22,9 +23,15 @@
 /// Time without a token after which the chain is probed, milliseconds.
 const STALL_MS: u64 = 1_000;
 /// Attempts after which a request is given up.
-const ATTEMPT_LIMIT: u32 = 12;
+const ATTEMPT_LIMIT: u32 = 60;
 /// Time that a request without a chain waits for a replica, milliseconds.
 const WAIT_REPLICA_MS: u64 = 2_000;
+/// Time that a suspect without a chain waits for its turn, milliseconds.
+const WAIT_TURN_MS: u64 = 10_000;
+/// VMs lost under one request from which on it is to blame.
+const LOSS_LIMIT: u32 = 3;
+/// Tokens after which a suspect that goes on is one no more.
+const PROBATION_TOKENS: usize = 3;
 /// Pause between two looks for a replica, milliseconds.
 const LOOK_AGAIN_MS: u64 = 100;
 /// When to come back after a refusal for want of an upstream, milliseconds.
@@ -67,9 +74,19 @@
     progress_at: ClockTime,
     stall_ms: u64,
     waiting_since: Option<ClockTime>,
+    fingerprint: CrashFingerprint,
+    /// VMs that were lost under it.
+    losses: u32,
+    /// It was on an upstream that died, and has not yet given this many tokens.
+    suspect_until: Option<usize>,
 }
 
 impl GenerateSlot {
+    fn suspect(&self) -> bool {
+        self.suspect_until
+            .is_some_and(|tokens| self.tokens.len() < tokens)
+    }
+
     fn uses(&self, address: &str) -> bool {
         self.chain.iter().any(|hop| hop.address == address)
     }
@@ -113,7 +130,18 @@
 
     /// Begins a request, or refuses it at once.
     pub fn start(&mut self, cx: &mut EntryContext, key: RequestKey, work: GenerateWork) {
+        let fingerprint = CrashFingerprint::of(&work.team, &work.model, &work.prompt);
+        if let Some(remaining_ms) = cx.crashes.quarantine_ms(cx.now, fingerprint) {
+            let detail = "upstreams died while they ran this request";
+            let refusal = RequestRefusal::not_run(RefusalReason::Quarantined, detail);
+            refuse(cx, key, refusal.retry_after(remaining_ms));
+            return;
+        }
+        let known = cx.crashes.crashes(cx.now, fingerprint) > 0;
         let mut slot = GenerateSlot {
+            fingerprint,
+            losses: 0,
+            suspect_until: known.then_some(PROBATION_TOKENS),
             work,
             attempt: 0,
             chain: Vec::new(),
@@ -189,6 +217,10 @@
         if message.code() != RefusalCode::UpstreamLost {
             slot.asked.remove(from);
         }
+        if message.blamed && !blame(cx, &mut slot) {
+            self.quarantine(cx, key, &slot);
+            return;
+        }
         if message.code() == RefusalCode::UnknownRequest {
             // Its agent has restarted: the state is gone, the replica is not.
             slot.fresh[stage] = true;
@@ -227,6 +259,7 @@
             let limited = count == slot.work.max_tokens;
             let facts = format!("tokens={count} attempts={}", slot.attempt);
             cx.note(EventNote::new(EventKind::RequestDone, "", facts).about(key));
+            cx.crashes.clear(slot.fingerprint);
             cx.answer(
                 key,
                 AnswerEvent::Done {
@@ -249,9 +282,17 @@
             .map(|(key, _)| *key)
             .collect();
         for key in keys {
-            let Some(slot) = self.slots.remove(&key) else {
+            let Some(mut slot) = self.slots.remove(&key) else {
                 continue;
             };
+            // VMs die every day of causes of their own, and several at once: only a suspect, or
+            // one that has lost many, is to blame. An engine's death is told by its agent.
+            slot.losses += 1;
+            let blamed = slot.suspect() || slot.losses >= LOSS_LIMIT;
+            if blamed && !blame(cx, &mut slot) {
+                self.quarantine(cx, key, &slot);
+                continue;
+            }
             let stages = stages_at(&slot, address);
             self.replace(cx, key, slot, &stages);
         }
@@ -356,7 +397,11 @@
 
     fn wait(&mut self, cx: &mut EntryContext, key: RequestKey, mut slot: GenerateSlot) {
         let since = *slot.waiting_since.get_or_insert(cx.now);
-        let patience = if slot.begun { WAIT_REPLICA_MS } else { 0 };
+        let patience = match (slot.suspect(), slot.begun) {
+            (true, _) => WAIT_TURN_MS,
+            (false, true) => WAIT_REPLICA_MS,
+            (false, false) => 0,
+        };
         if cx.now.since(since) >= patience {
             let detail = "no live upstream can take the place of a lost one";
             self.give_up(cx, key, &slot, RefusalReason::UpstreamLost, detail);
@@ -394,6 +439,14 @@
         refuse(cx, key, refusal.retry_after(NO_UPSTREAM_RETRY_MS));
     }
 
+    /// Too many upstreams died of the request.
+    fn quarantine(&mut self, cx: &mut EntryContext, key: RequestKey, slot: &GenerateSlot) {
+        release(cx, key, slot);
+        let detail = format!("{CRASH_LIMIT} upstreams died while they ran this request");
+        let refusal = RequestRefusal::may_have_run(RefusalReason::Quarantined, detail);
+        refuse(cx, key, refusal.retry_after(QUARANTINE_MS));
+    }
+
     fn remove(&mut self, cx: &mut EntryContext, key: RequestKey) -> bool {
         match self.slots.remove(&key) {
             Some(slot) => {
@@ -405,6 +458,12 @@
     }
 }
 
+/// Lays the death of an upstream to a request. Returns whether it may go on.
+fn blame(cx: &mut EntryContext, slot: &mut GenerateSlot) -> bool {
+    slot.suspect_until = Some(slot.tokens.len() + PROBATION_TOKENS);
+    cx.crashes.blame(cx.now, slot.fingerprint) < CRASH_LIMIT
+}
+
 /// Tells a caller that there is no answer, and notes it.
 pub(super) fn refuse(cx: &mut EntryContext, key: RequestKey, refusal: RequestRefusal) {
     let facts = format!("verdict={} reason={}", refusal.verdict, refusal.reason);
@@ -517,5 +576,6 @@
         fresh: slot.fresh[stage],
         next_fresh: slot.fresh.get(stage + 1).copied().unwrap_or(false),
         given: u32::try_from(slot.tokens.len()).unwrap_or(u32::MAX),
+        suspect: slot.suspect(),
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,6 +3,7 @@
 //! [`state::EntryState`] decides; [`run`] drives it with sockets, threads and the clock.
 
 pub mod call;
+pub mod crash;
 pub mod generate;
 pub mod http;
 pub mod operator;
@@ -12,6 +13,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::clock::ClockTime;
+use crate::entry::crash::CrashTable;
 use crate::event::EventNote;
 use crate::member::MemberTable;
 use crate::verdict::RequestRefusal;
@@ -120,6 +122,8 @@
     pub now: ClockTime,
     /// The replicas known.
     pub members: MemberTable,
+    /// Requests that upstreams died of, or may have.
+    pub crashes: CrashTable,
     /// Randomness.
     pub rng: Pcg64Mcg,
     /// What is to be done.
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::ClockTime;
 use crate::entry::call::{CallTable, CallWork};
+use crate::entry::crash::CrashTable;
 use crate::entry::generate::{refuse, GenerateTable, GenerateWork};
 use crate::entry::{AnswerEvent, CallerRequest, CallerWork, EntryContext, EntryOutput};
 use crate::event::{EventKind, EventNote};
@@ -103,6 +104,7 @@
             cx: EntryContext {
                 now: ClockTime::default(),
                 members: MemberTable::default(),
+                crashes: CrashTable::default(),
                 rng: Pcg64Mcg::seed_from_u64(setup.rng_seed),
                 outputs: Vec::new(),
             },
@@ -196,6 +198,7 @@
             EntryInput::Tick => {}
         }
         self.fire();
+        self.tell_crashes();
         self.release_teams();
         std::mem::take(&mut self.cx.outputs)
     }
@@ -376,6 +379,7 @@
                 self.hear_peer(&from, delta.complete_to);
                 self.apply_config(&from, delta.after, delta.complete_to, delta.items);
             }
+            Body::CrashNotice(notice) => self.cx.crashes.hear(self.cx.now, notice),
             Body::StageOpened(message) => {
                 self.generates.stage_opened(&mut self.cx, &from, &message)
             }
@@ -466,6 +470,16 @@
         self.gossip();
     }
 
+    /// Tells every other entry of upstreams that died, before a resend reaches it.
+    fn tell_crashes(&mut self) {
+        let Some(notice) = self.cx.crashes.news(self.cx.now) else {
+            return;
+        };
+        for peer in self.peers() {
+            self.cx.mail(&peer, Body::CrashNotice(notice.clone()));
+        }
+    }
+
     fn gossip(&mut self) {
         let now = self.cx.now;
         self.peers
@@ -481,7 +495,11 @@
             .choose_multiple(&mut self.cx.rng, GOSSIP_PEERS)
             .cloned()
             .collect();
+        let quarantined = self.cx.crashes.quarantined(now);
         for peer in chosen {
+            if let Some(notice) = &quarantined {
+                self.cx.mail(&peer, Body::CrashNotice(notice.clone()));
+            }
             self.cx
                 .mail(&peer, Body::ConfigDigest(ConfigDigest { complete_to }));
         }
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -77,6 +77,8 @@
     SlowReader,
     /// The profile changed since the draft was made.
     Conflict,
+    /// Upstreams died while they ran this request.
+    Quarantined,
     /// Nothing is known under this name.
     NotFound,
 }
@@ -89,7 +91,7 @@
             RefusalReason::BadToken => 401,
             RefusalReason::UnknownProfile | RefusalReason::NotFound => 404,
             RefusalReason::TooLarge => 413,
-            RefusalReason::KeyReused => 422,
+            RefusalReason::KeyReused | RefusalReason::Quarantined => 422,
             RefusalReason::TeamLimit => 429,
             RefusalReason::Deadline => 504,
             RefusalReason::OutcomeUnknown
--- a/src/wire/gen.rs
+++ b/src/wire/gen.rs
@@ -15,7 +15,7 @@
     pub lamport: u64,
     #[prost(
         oneof = "envelope::Body",
-        tags = "10, 11, 12, 13, 20, 21, 22, 23, 24, 25, 30, 31, 32, 33"
+        tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 30, 31, 32, 33"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -31,6 +31,8 @@
         ConfigDigest(super::ConfigDigest),
         #[prost(message, tag = "13")]
         ConfigDelta(super::ConfigDelta),
+        #[prost(message, tag = "14")]
+        CrashNotice(super::CrashNotice),
         #[prost(message, tag = "20")]
         StageOpen(super::StageOpen),
         #[prost(message, tag = "21")]
@@ -146,6 +148,23 @@
     #[prost(message, repeated, tag = "3")]
     pub items: ::prost::alloc::vec::Vec<ConfigItem>,
 }
+/// Requests that were on upstreams when those died.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CrashNotice {
+    #[prost(message, repeated, tag = "1")]
+    pub records: ::prost::alloc::vec::Vec<CrashRecord>,
+}
+/// One request, by the hash of its team, model and prompt, 16 bytes.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CrashRecord {
+    #[prost(bytes = "vec", tag = "1")]
+    pub fingerprint: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint32, tag = "2")]
+    pub crashes: u32,
+    /// Time for which it is remembered, milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub remaining_ms: u64,
+}
 /// One key of the configuration; an empty value means deleted.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfigItem {
@@ -202,6 +221,9 @@
     /// Tokens that the entry has: the last stage gives again what comes after.
     #[prost(uint32, tag = "13")]
     pub given: u32,
+    /// The request was on an upstream that died: the receiver takes one such at a time.
+    #[prost(bool, tag = "14")]
+    pub suspect: bool,
 }
 /// The stage has accepted the attempt.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -232,6 +254,9 @@
     pub code: i32,
     #[prost(uint64, tag = "5")]
     pub retry_after_ms: u64,
+    /// The engine died, and this request may be the cause.
+    #[prost(bool, tag = "6")]
+    pub blamed: bool,
 }
 /// Inputs of a stage for consecutive positions from `position`.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -121,6 +122,15 @@
         Err(eyre!("{} has not ended in {limit:?}", self.name))
     }
 
+    /// Whether the process has ended.
+    ///
+    /// # Errors
+    ///
+    /// When that cannot be told.
+    pub fn has_ended(&mut self) -> eyre::Result<bool> {
+        Ok(self.child.try_wait()?.is_some())
+    }
+
     /// The id of the process.
     pub fn id(&self) -> u32 {
         self.child.id()
@@ -598,13 +608,26 @@
     pub body: Value,
 }
 
-/// A loopback address that nobody listens on.
+/// First port given out: below the range from which systems take ports for connections, so that
+/// no connection takes one before its process listens.
+const FIRST_PORT: u16 = 20_000;
+/// One past the last port given out.
+const END_PORT: u16 = 32_000;
+
+/// A loopback address that nobody listens on, given out once.
 ///
 /// # Errors
 ///
-/// When there is none.
+/// When there is none left.
 pub fn free_address() -> eyre::Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    loop {
+        let port = NEXT.fetch_add(1, Ordering::Relaxed);
+        ensure!(port < END_PORT, "no port is left");
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return Ok(listener.local_addr()?);
+        }
+    }
 }
 
 /// The folder of the built programs.
--- a/standins/tests/failure.rs
+++ b/standins/tests/failure.rs
@@ -7,6 +7,7 @@
 
 use http_body_util::BodyExt;
 use serde_json::json;
+use standins::engine::CRASH_TEXT;
 use standins::fleet::{Fleet, FleetSetup, LAYERS, MODEL};
 use standins::model::expected_answer;
 
@@ -230,3 +231,39 @@
         .expect("an answer");
     (status, serde_json::from_slice(&answer).unwrap_or_default())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_kills_engines_is_stopped() {
+    let mut setup = FleetSetup::small(logs("killer"));
+    setup.replicas = 3;
+    let mut fleet = Fleet::start(setup).await.expect("a fleet");
+    let mut streams = Vec::new();
+    for number in 0..STREAMS {
+        let prompt = format!("beside a killer {number}");
+        let response = fleet.stream(0, &prompt, TOKENS).await.expect("a stream");
+        streams.push((prompt, tokio::spawn(read_stream(response))));
+    }
+    for entry in [0, 1, 0, 1] {
+        let refused = fleet
+            .complete(entry, CRASH_TEXT, 3)
+            .await
+            .expect_err("a refusal");
+        assert!(refused.to_string().contains("quarantined"), "{refused}");
+    }
+    for (prompt, stream) in streams {
+        let (answer, whole) = stream.await.expect("a reader");
+        assert!(whole, "{prompt}: cut after {} bytes", answer.len());
+        assert_eq!(
+            answer,
+            expected_answer(MODEL, LAYERS, &prompt, TOKENS),
+            "{prompt}"
+        );
+    }
+    // The last replica of the first stage lives.
+    let dead = fleet
+        .engines
+        .iter_mut()
+        .filter_map(|engine| engine.has_ended().ok());
+    let dead = dead.filter(|ended| *ended).count();
+    assert!(dead <= 2, "{dead} engines died of one request");
+}
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -11,7 +11,10 @@
 use lynxcart::wire::RequestKey;
 use rand::Rng;
 
-use world::{expected_tokens, World, WorldFaults, MODEL, TOKEN};
+use lynxcart::clock::ClockTime;
+use lynxcart::entry::crash::{CrashFingerprint, CrashTable, CRASH_LIMIT};
+use lynxcart::verdict::RefusalReason;
+use world::{expected_tokens, World, WorldFaults, CRASH_TEXT, MODEL, TOKEN};
 
 const LAYERS: u32 = 12;
 const TOKENS: u32 = 20;
@@ -224,3 +227,82 @@
         assert!(check_answer("drain", key, &world.answers[&RequestKey(key)]));
     }
 }
+
+/// The reason for which a request was refused.
+fn refusal(world: &World, key: u128) -> Option<RefusalReason> {
+    match world.ended(RequestKey(key)) {
+        Some(AnswerEvent::Refused(refusal)) => Some(refusal.reason),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_request_that_kills_engines_is_stopped_and_the_others_finish() {
+    for seed in 0..30 {
+        let ranges = [(0, 4), (0, 4), (0, 4), (4, 8), (4, 8), (8, 12), (8, 12)];
+        let mut world = world(seed, WorldFaults::none(), &ranges);
+        for key in 1..=12 {
+            world.ask((key % 2) as usize, request(key));
+        }
+        world.run_for(40);
+        let mut guilty = request(100);
+        guilty.work = CallerWork::Generate {
+            prompt: CRASH_TEXT.into(),
+            max_tokens: Some(TOKENS),
+        };
+        world.ask(0, guilty.clone());
+        let asked = world.now;
+        while world.ended(RequestKey(100)).is_none() && world.now.since(asked) < 8_000 {
+            world.run_for(1);
+        }
+        let stopped = Some(RefusalReason::Quarantined);
+        assert_eq!(refusal(&world, 100), stopped, "seed {seed}");
+        // Sent again at once through the other entry, it reaches no engine.
+        guilty.key = RequestKey(101);
+        world.run_for(5);
+        world.ask(1, guilty.clone());
+        world.run_for(5);
+        assert_eq!(refusal(&world, 101), stopped, "seed {seed}");
+        world.run_for(8_000);
+        assert!(
+            world.engine_deaths <= CRASH_LIMIT,
+            "seed {seed}: {}",
+            world.engine_deaths
+        );
+        for key in 1..=12 {
+            let context = format!("seed {seed}, beside a killer");
+            let events = &world.answers[&RequestKey(key)];
+            assert!(
+                check_answer(&context, key, events),
+                "{context}: {key}: {:?}",
+                events.last()
+            );
+        }
+        for resend in 102..=104 {
+            guilty.key = RequestKey(resend);
+            world.ask((resend % 2) as usize, guilty.clone());
+            world.run_for(500);
+            assert_eq!(refusal(&world, resend), stopped, "seed {seed}");
+        }
+        assert!(
+            world.engine_deaths <= CRASH_LIMIT,
+            "seed {seed}: {}",
+            world.engine_deaths
+        );
+    }
+}
+
+#[test]
+fn another_team_is_not_punished_for_the_same_text() {
+    let mut crashes = CrashTable::default();
+    let now = ClockTime(1);
+    let guilty = CrashFingerprint::of("a", "m", "text");
+    (0..CRASH_LIMIT).for_each(|_| drop(crashes.blame(now, guilty)));
+    assert!(crashes.quarantine_ms(now, guilty).is_some());
+    for (team, model, prompt) in [("b", "m", "text"), ("a", "n", "text"), ("a", "m", "other")] {
+        let other = CrashFingerprint::of(team, model, prompt);
+        assert_eq!(crashes.quarantine_ms(now, other), None);
+    }
+    let later = now + lynxcart::entry::crash::QUARANTINE_MS;
+    assert_eq!(crashes.quarantine_ms(later, guilty), None);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -31,6 +31,10 @@
 
 pub const TOKEN: &str = "team-token";
 pub const MODEL: &str = "m";
+/// A prompt with this text kills each engine that runs it.
+pub const CRASH_TEXT: &str = "CRASH";
+/// Time in which a dead engine is started again, milliseconds.
+const RESTART_MS: u64 = 3_000;
 /// Time after which a platform call without an answer fails, milliseconds.
 const PLATFORM_MS: u64 = 1_000;
 
@@ -75,6 +79,7 @@
     pub alive: bool,
     pub paused_until: ClockTime,
     upstream: FakeUpstream,
+    engine_down_until: ClockTime,
     tick_at: ClockTime,
 }
 
@@ -105,6 +110,8 @@
     /// The pieces of each answer.
     pub answers: HashMap<RequestKey, Vec<AnswerEvent>>,
     pub mails: u64,
+    /// Engines that died of a request.
+    pub engine_deaths: u32,
     pub mail_bytes: u64,
     queue: BTreeMap<(ClockTime, u64), Delivery>,
     order: u64,
@@ -154,6 +161,7 @@
             runs: HashMap::new(),
             answers: HashMap::new(),
             mails: 0,
+            engine_deaths: 0,
             mail_bytes: 0,
             queue: BTreeMap::new(),
             order: 0,
@@ -214,6 +222,7 @@
             alive: true,
             paused_until: ClockTime::default(),
             upstream,
+            engine_down_until: ClockTime::default(),
             tick_at: ClockTime::NEVER,
         });
         self.begin_agent(index);
@@ -537,6 +546,9 @@
     }
 
     fn engine(&mut self, index: usize, incarnation: u64, order: EngineOrder) {
+        if self.now < self.agents[index].engine_down_until {
+            return;
+        }
         let FakeUpstream::Engine(role, layers, sequences) = &mut self.agents[index].upstream else {
             return;
         };
@@ -551,6 +563,16 @@
                 return;
             }
         };
+        let crashes = |input: &Vec<u8>| String::from_utf8_lossy(input).contains(CRASH_TEXT);
+        if inputs.iter().any(crashes) {
+            sequences.clear();
+            self.engine_deaths += 1;
+            self.agents[index].engine_down_until = self.now + RESTART_MS;
+            let input = |event| Delivery::Agent(index, incarnation, AgentInput::Engine(event));
+            self.push(1, input(EngineEvent::Lost));
+            self.push(RESTART_MS + 1, input(EngineEvent::Up));
+            return;
+        }
         let held = (role.end_layer - role.first_layer) as usize;
         let (next, states) = sequences
             .entry(sequence)
