Keep an entry's control traffic within its budget at 12,000 replicas

Peers knew only their seeds, which would have carried all gossip.

Change: the entry tells its agents how long to wait between heartbeats, by the replicas it knows; the list of entries is told when it changed, and now and then when it is large. Entries keep a bounded, random view of peers with the age of each, and name a few in each exchange.

Ruled out: fewer entries for each agent (coverage of a stage by an entry falls below eight replicas).

--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -9,18 +9,17 @@
 use crate::clock::ClockTime;
 use crate::event::{EventKind, EventNote};
 use crate::mail::MailEvent;
+use crate::member::{HEARTBEAT_MOST_MS, HEARTBEAT_MS};
 use crate::platform::PlatformResult;
 use crate::util::rendezvous_pick;
 use crate::wire::gen::envelope::Body;
 use crate::wire::gen::{heartbeat::Role, Heartbeat, ModelRole, ServiceRole};
 use crate::wire::MailIn;
 
-/// Time between two heartbeats, milliseconds.
-pub const HEARTBEAT_MS: u64 = 1_000;
 /// Most entries that one agent reports to.
 pub const ENTRY_SUBSET: usize = 14;
 /// An entry that has not answered for this long is no longer reported to, milliseconds.
-const ENTRY_FORGET_MS: u64 = 30_000;
+const ENTRY_FORGET_MS: u64 = 60_000;
 
 /// What stands beside an agent.
 #[derive(Clone, Debug)]
@@ -75,6 +74,26 @@
     Tick,
 }
 
+/// What an agent knows of an entry.
+#[derive(Clone, Copy, Debug)]
+struct EntryPeer {
+    heard: ClockTime,
+    /// Hash of the entries that it last told.
+    entries_hash: u64,
+    /// Time that it wants between heartbeats, milliseconds.
+    heartbeat_ms: u64,
+}
+
+impl EntryPeer {
+    fn new(heard: ClockTime) -> EntryPeer {
+        EntryPeer {
+            heard,
+            entries_hash: 0,
+            heartbeat_ms: HEARTBEAT_MS,
+        }
+    }
+}
+
 #[derive(Debug)]
 enum UpstreamTable {
     Stages(StageTable),
@@ -87,7 +106,7 @@
     setup: AgentSetup,
     cx: AgentContext,
     table: UpstreamTable,
-    entries: BTreeMap<String, ClockTime>,
+    entries: BTreeMap<String, EntryPeer>,
     heartbeat_at: ClockTime,
     sequence: u64,
     config_revision: u64,
@@ -112,7 +131,9 @@
         };
         let entries = setup.entries.iter();
         AgentState {
-            entries: entries.map(|e| (e.clone(), ClockTime::default())).collect(),
+            entries: entries
+                .map(|e| (e.clone(), EntryPeer::new(ClockTime::default())))
+                .collect(),
             cx: AgentContext {
                 wall_start_ms: setup.wall_start_ms,
                 ..AgentContext::default()
@@ -208,9 +229,15 @@
         let draining = self.draining;
         match (mail.body, &mut self.table) {
             (Body::HeartbeatAck(ack), _) => {
-                self.entries.insert(from, self.cx.now);
+                let peer = EntryPeer {
+                    heard: self.cx.now,
+                    entries_hash: ack.entries_hash,
+                    heartbeat_ms: ack.heartbeat_ms,
+                };
+                self.entries.insert(from, peer);
                 for entry in ack.entries {
-                    self.entries.entry(entry).or_insert(self.cx.now);
+                    let known = EntryPeer::new(self.cx.now);
+                    self.entries.entry(entry).or_insert(known);
                 }
                 self.config_revision = self.config_revision.max(ack.config_revision);
             }
@@ -284,23 +311,32 @@
         if self.cx.now < self.heartbeat_at {
             return;
         }
-        self.heartbeat_at = self.cx.now + HEARTBEAT_MS;
+        self.heartbeat_at = self.cx.now + self.heartbeat_ms();
         if let UpstreamTable::Stages(table) = &mut self.table {
             table.drop_idle(&mut self.cx);
         }
         self.send_heartbeats();
     }
 
+    /// The longest time that an entry of the last round has asked for, milliseconds.
+    fn heartbeat_ms(&self) -> u64 {
+        let asked = self.entries.values().map(|peer| peer.heartbeat_ms);
+        let longest = asked.max().unwrap_or(HEARTBEAT_MS);
+        longest.clamp(HEARTBEAT_MS, HEARTBEAT_MOST_MS)
+    }
+
     fn send_heartbeats(&mut self) {
         let now = self.cx.now;
         let seeds = &self.setup.entries;
         self.entries
-            .retain(|entry, heard| now.since(*heard) < ENTRY_FORGET_MS || seeds.contains(entry));
+            .retain(|entry, peer| now.since(peer.heard) < ENTRY_FORGET_MS || seeds.contains(entry));
         self.sequence += 1;
         let heartbeat = self.heartbeat();
         let known: Vec<String> = self.entries.keys().cloned().collect();
         for entry in rendezvous_pick(&self.setup.name, &known, ENTRY_SUBSET) {
-            self.cx.mail(entry, Body::Heartbeat(heartbeat.clone()));
+            let mut heartbeat = heartbeat.clone();
+            heartbeat.entries_hash = self.entries[entry].entries_hash;
+            self.cx.mail(entry, Body::Heartbeat(heartbeat));
         }
     }
 
@@ -331,6 +367,7 @@
             pass_micros,
             role: Some(role),
             config_revision: self.config_revision,
+            entries_hash: 0,
         }
     }
 }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use rand::seq::IndexedRandom;
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::clock::ClockTime;
@@ -16,18 +16,24 @@
 use crate::mail::MailEvent;
 use crate::member::{MemberChange, MemberTable};
 use crate::profile::{ConfigTable, KeylessPolicy, ProfileTarget};
-use crate::util::rendezvous_pick;
+use crate::util::{addresses_hash, rendezvous_pick};
 use crate::verdict::{RefusalReason, RequestRefusal};
 use crate::wire::gen::envelope::Body;
-use crate::wire::gen::{ConfigDigest, ConfigItem, HeartbeatAck};
+use crate::wire::gen::{ConfigDigest, ConfigItem, HeartbeatAck, PeerAge};
 use crate::wire::{MailIn, RequestKey};
 
 /// Time between two exchanges of configuration with peers, milliseconds.
 pub const GOSSIP_MS: u64 = 1_000;
 /// Peers asked in one exchange.
 const GOSSIP_PEERS: usize = 2;
+/// Peers named in one exchange.
+const DIGEST_PEERS: usize = 4;
+/// Heartbeats of which one is answered with the entries when the view is full.
+const TELL_ENTRIES_ONE_IN: u32 = 16;
+/// Peers known at most.
+const PEER_VIEW: usize = 32;
 /// An entry that has been silent for this long is no peer, milliseconds.
-const PEER_FORGET_MS: u64 = 15_000;
+const PEER_FORGET_MS: u64 = 60_000;
 /// Entries that read the platform; the others learn from them.
 const READER_COUNT: usize = 3;
 /// Requests in flight at one entry.
@@ -150,6 +156,9 @@
             heard,
             config_revision,
         };
+        if !self.peers.contains_key(from) {
+            self.make_room_for_peer();
+        }
         self.peers.insert(from.to_owned(), peer);
     }
 
@@ -361,20 +370,17 @@
         let from = mail.from;
         match mail.body {
             Body::Heartbeat(heartbeat) => {
-                let (_, change) =
-                    self.cx
-                        .members
-                        .hear(self.cx.now, &from, mail.incarnation, heartbeat);
+                let entries_hash = heartbeat.entries_hash;
+                let now = self.cx.now;
+                let members = &mut self.cx.members;
+                let (key, change) = members.hear(now, &from, mail.incarnation, heartbeat);
                 self.note_change(&from, change);
-                let mut entries = self.peers();
-                entries.push(self.address.clone());
-                let ack = HeartbeatAck {
-                    entries,
-                    config_revision: self.config.complete_to(),
-                };
+                let beat_ms = self.cx.members.beat_ms();
+                self.cx.members.ask_beat(key, beat_ms);
+                let ack = self.heartbeat_ack(entries_hash, beat_ms);
                 self.cx.mail(&from, Body::HeartbeatAck(ack));
             }
-            Body::ConfigDigest(digest) => self.digest(&from, digest.complete_to),
+            Body::ConfigDigest(digest) => self.digest(&from, digest),
             Body::ConfigDelta(delta) => {
                 self.hear_peer(&from, delta.complete_to);
                 self.apply_config(&from, delta.after, delta.complete_to, delta.items);
@@ -401,6 +407,23 @@
         }
     }
 
+    fn heartbeat_ack(&mut self, known_hash: u64, heartbeat_ms: u64) -> HeartbeatAck {
+        let mut entries = self.peers();
+        entries.push(self.address.clone());
+        let entries_hash = addresses_hash(&entries);
+        // A large view changes all the time: an agent that has one is told of it now and then.
+        let known = known_hash != 0 && !self.cx.rng.random_ratio(1, TELL_ENTRIES_ONE_IN);
+        if known_hash == entries_hash || (known && entries.len() > PEER_VIEW) {
+            entries.clear();
+        }
+        HeartbeatAck {
+            entries,
+            config_revision: self.config.complete_to(),
+            entries_hash,
+            heartbeat_ms,
+        }
+    }
+
     fn note_change(&mut self, from: &str, change: MemberChange) {
         let kind = match change {
             MemberChange::None => return,
@@ -424,18 +447,81 @@
         self.calls.peer_lost(&mut self.cx, address);
     }
 
-    fn digest(&mut self, from: &str, theirs: u64) {
+    fn digest(&mut self, from: &str, digest: ConfigDigest) {
+        let theirs = digest.complete_to;
         self.hear_peer(from, theirs);
+        for peer in digest.peers {
+            self.learn_peer(peer);
+        }
         let ours = self.config.complete_to();
         if theirs < ours {
             let delta = self.config.delta_after(theirs);
             self.cx.mail(from, Body::ConfigDelta(delta));
         } else if theirs > ours {
-            let digest = ConfigDigest { complete_to: ours };
+            let digest = self.config_digest();
             self.cx.mail(from, Body::ConfigDigest(digest));
         }
     }
 
+    fn config_digest(&mut self) -> ConfigDigest {
+        let mut known = self.peers();
+        let mut told = self.first_readers();
+        told.retain(|address| *address != self.address);
+        known.retain(|address| !told.contains(address));
+        let some = known.choose_multiple(&mut self.cx.rng, DIGEST_PEERS);
+        told.extend(some.cloned());
+        let now = self.cx.now;
+        let peers = told.into_iter().filter_map(|address| {
+            let age_ms = now.since(self.peers.get(&address)?.heard);
+            Some(PeerAge { address, age_ms })
+        });
+        ConfigDigest {
+            complete_to: self.config.complete_to(),
+            peers: peers.collect(),
+        }
+    }
+
+    /// Takes in an entry that another has heard of, and when. The view of peers is bounded, and
+    /// random, so that what one entry knows reaches all through the views of the others.
+    fn learn_peer(&mut self, told: PeerAge) {
+        let now = self.cx.now;
+        if told.address == self.address || told.age_ms >= PEER_FORGET_MS {
+            return;
+        }
+        let heard = now - told.age_ms;
+        if let Some(peer) = self.peers.get_mut(&told.address) {
+            peer.heard = peer.heard.max(heard);
+            return;
+        }
+        self.make_room_for_peer();
+        let peer = PeerEntry {
+            heard,
+            config_revision: 0,
+        };
+        self.peers.insert(told.address, peer);
+    }
+
+    /// Drops a peer of a full view, but none that reads the platform.
+    fn make_room_for_peer(&mut self) {
+        if self.peers.len() < PEER_VIEW {
+            return;
+        }
+        let readers = self.first_readers();
+        let mut others = self.peers();
+        others.retain(|address| !readers.contains(address));
+        if let Some(victim) = others.choose(&mut self.cx.rng) {
+            self.peers.remove(victim);
+        }
+    }
+
+    /// The entries that rank first as readers of the platform, of those known.
+    fn first_readers(&self) -> Vec<String> {
+        let mut nodes = self.peers();
+        nodes.push(self.address.clone());
+        let first = rendezvous_pick("readers", &nodes, READER_COUNT);
+        first.into_iter().map(str::to_owned).collect()
+    }
+
     fn apply_config(&mut self, source: &str, after: u64, complete_to: u64, items: Vec<ConfigItem>) {
         for key in self.config.apply(after, complete_to, items) {
             let facts = format!("revision={} source={source}", self.config.complete_to());
@@ -490,7 +576,6 @@
                 known.push(seed.clone());
             }
         }
-        let complete_to = self.config.complete_to();
         let chosen: Vec<String> = known
             .choose_multiple(&mut self.cx.rng, GOSSIP_PEERS)
             .cloned()
@@ -500,18 +585,15 @@
             if let Some(notice) = &quarantined {
                 self.cx.mail(&peer, Body::CrashNotice(notice.clone()));
             }
-            self.cx
-                .mail(&peer, Body::ConfigDigest(ConfigDigest { complete_to }));
+            let digest = self.config_digest();
+            self.cx.mail(&peer, Body::ConfigDigest(digest));
         }
         self.choose_readers();
     }
 
     /// A few entries read the platform, found by each from the peers it has heard.
     fn choose_readers(&mut self) {
-        let mut nodes = self.peers();
-        nodes.push(self.address.clone());
-        let reader =
-            rendezvous_pick("readers", &nodes, READER_COUNT).contains(&self.address.as_str());
+        let reader = self.first_readers().contains(&self.address);
         if reader != self.reader {
             self.reader = reader;
             self.cx.outputs.push(EntryOutput::Reader(reader));
--- a/src/member.rs
+++ b/src/member.rs
@@ -5,10 +5,18 @@
 use crate::clock::ClockTime;
 use crate::wire::gen::{heartbeat::Role, Heartbeat};
 
-/// A replica without a heartbeat for this long gets no new work, milliseconds.
-pub const SILENT_AFTER_MS: u64 = 3_000;
-/// A replica without a heartbeat for this long is forgotten, milliseconds.
-pub const FORGET_AFTER_MS: u64 = 30_000;
+/// Shortest time between two heartbeats of one agent, milliseconds.
+pub const HEARTBEAT_MS: u64 = 1_000;
+/// Longest time between two heartbeats of one agent, milliseconds.
+pub const HEARTBEAT_MOST_MS: u64 = 20_000;
+/// Heartbeats missed after which a replica gets no new work.
+const SILENT_BEATS: u64 = 3;
+/// Heartbeats missed after which a replica is forgotten.
+const FORGET_BEATS: u64 = 30;
+/// Bytes of a heartbeat and its answer with their TCP/IP headers.
+const HEARTBEAT_BYTES: u64 = 400;
+/// Bytes that one entry spends on heartbeats, per second.
+const HEARTBEAT_BUDGET: u64 = 9_000;
 
 /// Key of a replica in one entry's [`MemberTable`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -43,6 +51,8 @@
     pub own_in_flight: u32,
     /// Own requests in flight when the latest heartbeat came.
     own_at_heartbeat: u32,
+    /// Time between heartbeats that this entry has asked for, milliseconds.
+    beat_ms: u64,
 }
 
 impl ReplicaRecord {
@@ -62,7 +72,7 @@
     pub fn usable(&self, now: ClockTime) -> bool {
         self.state == ReplicaState::Serving
             && self.heartbeat.limit > 0
-            && now.since(self.heard) < SILENT_AFTER_MS
+            && now.since(self.heard) < SILENT_BEATS * self.beat_ms
     }
 }
 
@@ -125,6 +135,21 @@
         (key, change)
     }
 
+    /// Time between heartbeats that keeps this entry's traffic within its budget, milliseconds:
+    /// the more replicas it knows, the longer.
+    pub fn beat_ms(&self) -> u64 {
+        let replicas = u64::try_from(self.by_address.len()).unwrap_or(u64::MAX);
+        let wanted = replicas.saturating_mul(HEARTBEAT_BYTES) * 1_000 / HEARTBEAT_BUDGET;
+        wanted.clamp(HEARTBEAT_MS, HEARTBEAT_MOST_MS)
+    }
+
+    /// Notes the time between heartbeats that a replica's agent is asked for, milliseconds.
+    pub fn ask_beat(&mut self, key: ReplicaKey, beat_ms: u64) {
+        if let Some(record) = self.slots[key.0 as usize].as_mut() {
+            record.beat_ms = beat_ms;
+        }
+    }
+
     fn insert(
         &mut self,
         now: ClockTime,
@@ -145,6 +170,7 @@
             state,
             own_in_flight: 0,
             own_at_heartbeat: 0,
+            beat_ms: HEARTBEAT_MS,
         };
         let free = self.slots.iter().position(Option::is_none);
         let index = free.unwrap_or(self.slots.len());
@@ -185,7 +211,8 @@
         let mut gone = Vec::new();
         for slot in &mut self.slots {
             let silent = slot.as_ref().is_some_and(|record| {
-                now.since(record.heard) >= FORGET_AFTER_MS && record.own_in_flight == 0
+                now.since(record.heard) >= FORGET_BEATS * record.beat_ms
+                    && record.own_in_flight == 0
             });
             if let Some(record) = slot.take_if(|_| silent) {
                 self.by_address.remove(&record.address);
--- a/src/util.rs
+++ b/src/util.rs
@@ -56,3 +56,11 @@
     }
     owners
 }
+
+/// Hash of a list of addresses, whatever their order.
+pub fn addresses_hash(addresses: &[String]) -> u64 {
+    let hashes = addresses
+        .iter()
+        .map(|address| rendezvous_weight("", address));
+    hashes.fold(0, |sum, hash| sum ^ hash)
+}
--- a/src/wire/gen.rs
+++ b/src/wire/gen.rs
@@ -89,6 +89,9 @@
     /// Config revision that this agent has in force.
     #[prost(uint64, tag = "12")]
     pub config_revision: u64,
+    /// Hash of the entries last told by the receiver.
+    #[prost(uint64, tag = "13")]
+    pub entries_hash: u64,
     #[prost(oneof = "heartbeat::Role", tags = "10, 11")]
     pub role: ::core::option::Option<heartbeat::Role>,
 }
@@ -124,19 +127,36 @@
     #[prost(uint32, tag = "3")]
     pub partition_count: u32,
 }
-/// Answer to a heartbeat: the entries known, and the sender's config revision.
+/// Answer to a heartbeat.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HeartbeatAck {
+    /// Entries known; left out when the heartbeat carried their hash.
     #[prost(string, repeated, tag = "1")]
     pub entries: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     #[prost(uint64, tag = "2")]
     pub config_revision: u64,
+    #[prost(uint64, tag = "3")]
+    pub entries_hash: u64,
+    /// Time that the sender wants between heartbeats, milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub heartbeat_ms: u64,
 }
 /// Config revision up to which the sender is complete.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ConfigDigest {
     #[prost(uint64, tag = "1")]
     pub complete_to: u64,
+    /// A few entries that the sender knows, those that rank first as readers among them.
+    #[prost(message, repeated, tag = "2")]
+    pub peers: ::prost::alloc::vec::Vec<PeerAge>,
+}
+/// An entry, and the time since it was heard itself.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PeerAge {
+    #[prost(string, tag = "1")]
+    pub address: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
 /// Every config item changed after `after` and up to `complete_to`.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/standins/src/slope.rs
+++ b/standins/src/slope.rs
@@ -56,6 +56,7 @@
             accelerator: format!("kind-{}", replica % 3),
         })),
         config_revision: 1_000,
+        entries_hash: u64::MAX,
     }
 }
 
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -113,3 +113,45 @@
         .count();
     assert_eq!(readers, 3);
 }
+
+#[test]
+fn a_change_reaches_as_many_entries_as_there_are_to_be() {
+    const ENTRIES: usize = 380;
+    let faults = WorldFaults {
+        mail_lost: 10,
+        mail_delay_ms: 100,
+        ..WorldFaults::none()
+    };
+    let mut world = World::new(1, faults);
+    (0..ENTRIES).for_each(|_| world.add_entry());
+    world.run_for(20_000);
+    world.give_entry(100, config(0, 7, vec![item(1, 7)]));
+    let began = world.now;
+    let lags = |world: &World| {
+        let entries = world.entries.iter();
+        entries
+            .filter(|entry| entry.state.config().complete_to() < 7)
+            .count()
+    };
+    while lags(&world) > 0 && world.now.since(began) < IN_FORCE_MS {
+        world.run_for(100);
+    }
+    println!(
+        "in force on {ENTRIES} entries after {} ms",
+        world.now.since(began)
+    );
+    assert_eq!(lags(&world), 0);
+    let readers = world
+        .entries
+        .iter()
+        .filter(|entry| entry.state.reader())
+        .count();
+    println!("{readers} readers of the platform");
+    let began = world.now;
+    let mails = world.mails;
+    world.run_for(10_000);
+    let seconds = world.now.since(began) as f64 / 1e3;
+    let rate = (world.mails - mails) as f64 / seconds / ENTRIES as f64;
+    println!("{rate:.2} messages of gossip a second from each entry");
+    assert!((1..100).contains(&readers));
+}
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -297,7 +297,9 @@
     let mut crashes = CrashTable::default();
     let now = ClockTime(1);
     let guilty = CrashFingerprint::of("a", "m", "text");
-    (0..CRASH_LIMIT).for_each(|_| drop(crashes.blame(now, guilty)));
+    for _ in 0..CRASH_LIMIT {
+        crashes.blame(now, guilty);
+    }
     assert!(crashes.quarantine_ms(now, guilty).is_some());
     for (team, model, prompt) in [("b", "m", "text"), ("a", "n", "text"), ("a", "m", "other")] {
         let other = CrashFingerprint::of(team, model, prompt);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -20,7 +20,10 @@
 }
 
 fn digest() -> Option<Body> {
-    Some(Body::ConfigDigest(ConfigDigest { complete_to: 3 }))
+    Some(Body::ConfigDigest(ConfigDigest {
+        complete_to: 3,
+        peers: Vec::new(),
+    }))
 }
 
 struct KeyCase {
