Measure memory by bytes in use and processor time by nanoseconds

Cause: bench slopes read 0 KiB for configuration, since freed pages were used again, and 0 us for idle agents, in ticks of 10 ms.

Change: a counting allocator in the bench; schedstat of all threads; slopes of requests in flight and of remembered keys; the cost of a heartbeat at a real entry.

--- a/standins/src/bin/bench.rs
+++ b/standins/src/bin/bench.rs
@@ -4,11 +4,20 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use serde_json::json;
+use lynxcart::mail::{self, LamportClock, MailEvent, MailIdentity, MailPost};
+use lynxcart::wire::gen::envelope::Body;
+use lynxcart::wire::{FrameKeys, MailOut};
 use standins::direct::DirectChain;
-use standins::fleet::{Fleet, FleetProcess, FleetSetup};
+use standins::fleet::{free_address, Fleet, FleetProcess, FleetSetup};
+use standins::heap::CountingHeap;
 use standins::load::{ask, cpu_time, load_direct, load_fleet, resident_kib, LoadPlan, LoadReport};
-use standins::slope::{config_slope, heartbeat_bytes, replica_slope, SlopePoint};
+use standins::slope::{
+    config_slope, heartbeat, heartbeat_bytes, journal_slope, replica_slope, request_slope,
+    SlopePoint,
+};
+
+#[global_allocator]
+static HEAP: CountingHeap = CountingHeap;
 
 /// Target of letter 1: time to the first token for 95 in 100, microseconds.
 const FIRST_US: u64 = 2_000_000;
@@ -286,13 +295,63 @@
     for count in [250, 500, 1_000, 2_000, 4_000] {
         print_points(&config_slope(count));
     }
+    for count in [250, 500, 1_000, 2_000, 4_000] {
+        print_points(&request_slope(count));
+        print_points(&journal_slope(count));
+    }
     process_costs().await
 }
 
+/// Processor time of a real entry for each heartbeat taken and answered.
+async fn heartbeat_cost(fleet: &Fleet) -> eyre::Result<()> {
+    const SENDERS: u32 = 16;
+    const ROUNDS: u32 = 600;
+    let entry = &fleet.entries[0];
+    let keys = FrameKeys::from_secrets(&["fleet-secret".into()]);
+    let keys = keys.ok_or_else(|| eyre::eyre!("no key"))?;
+    let (ring, events) = crossbeam_channel::bounded::<MailEvent>(65_536);
+    let mut posts = Vec::new();
+    for sender in 0..SENDERS {
+        let identity = MailIdentity {
+            address: free_address()?.to_string(),
+            incarnation: u64::from(sender),
+            keys: keys.clone(),
+            clock: LamportClock::default(),
+        };
+        mail::listen(&identity, ring.clone())?;
+        posts.push(MailPost::new(identity, ring.clone()));
+    }
+    let mut send = |round: u32| {
+        for (sender, post) in (0..).zip(&mut posts) {
+            let body = Body::Heartbeat(heartbeat(sender, u64::from(round) + 1));
+            post.send(MailOut {
+                to: entry.mail.to_string(),
+                body,
+            });
+        }
+    };
+    send(0);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    while events.try_recv().is_ok() {}
+    let before = cpu_time(entry.id())?;
+    for round in 1..=ROUNDS {
+        send(round);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let used = cpu_time(entry.id())?.saturating_sub(before);
+    let answered = std::iter::from_fn(|| events.try_recv().ok()).count();
+    figure("heartbeats sent", f64::from(SENDERS * ROUNDS), "");
+    figure("heartbeats answered", answered as f64, "");
+    let micros = used.as_secs_f64() * 1e6 / f64::from(SENDERS * ROUNDS);
+    figure("entry: processor time per heartbeat", micros, "us");
+    Ok(())
+}
+
 /// Costs of real processes, idle and under load.
 async fn process_costs() -> eyre::Result<()> {
     let fleet = Fleet::start(setup()).await?;
-    let idle_s = 5;
+    let idle_s = 10;
     let mark = Marks::take(&fleet)?;
     tokio::time::sleep(Duration::from_secs(idle_s)).await;
     mark.print(&fleet, "idle", idle_s as f64, "s")?;
@@ -323,7 +382,7 @@
         rate("writes")?,
         "1/s",
     );
-    println!("{}", json!({"heartbeat_bytes": heartbeat_bytes()}));
+    heartbeat_cost(&fleet).await?;
     Ok(())
 }
 
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod direct;
 pub mod engine;
 pub mod fleet;
+pub mod heap;
 pub mod load;
 pub mod model;
 pub mod platform;
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -201,23 +201,22 @@
     .await
 }
 
-/// Processor time that a process has used, from `/proc`.
+/// Processor time that the threads of a process have used, from `/proc`.
 ///
 /// # Errors
 ///
 /// When the process is gone.
 pub fn cpu_time(process: u32) -> eyre::Result<Duration> {
-    let stat = std::fs::read_to_string(format!("/proc/{process}/stat"))?;
-    let after = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
-    let fields: Vec<&str> = after.split_whitespace().collect();
-    let ticks = |index: usize| {
-        fields
-            .get(index)
-            .and_then(|f| f.parse::<u64>().ok())
-            .unwrap_or(0)
-    };
-    // User and system time stand in fields 14 and 15, in ticks of 10 ms.
-    Ok(Duration::from_millis((ticks(11) + ticks(12)) * 10))
+    let mut nanos = 0;
+    for thread in std::fs::read_dir(format!("/proc/{process}/task"))? {
+        // The first field counts nanoseconds on a processor.
+        let text = std::fs::read_to_string(thread?.path().join("schedstat"))?;
+        let first = text.split_whitespace().next();
+        nanos += first
+            .and_then(|field| field.parse::<u64>().ok())
+            .unwrap_or(0);
+    }
+    Ok(Duration::from_nanos(nanos))
 }
 
 /// Memory that a process holds, KiB, from `/proc`.
--- a/standins/src/slope.rs
+++ b/standins/src/slope.rs
@@ -4,18 +4,22 @@
 use std::hint::black_box;
 use std::time::Instant;
 
+use lynxcart::agent::journal::{KeyAnswer, PartitionJournal};
+use lynxcart::agent::AgentContext;
 use lynxcart::clock::ClockTime;
 use lynxcart::entry::state::{EntryInput, EntrySetup, EntryState};
 use lynxcart::entry::{CallerRequest, CallerWork};
 use lynxcart::mail::MailEvent;
+use lynxcart::platform::PlatformAnswer;
 use lynxcart::profile::{
     token_hash, ProfileRecord, ProfileSpec, ProfileTarget, TeamRecord, PROFILE_PREFIX, TEAM_PREFIX,
 };
+use lynxcart::util::key_hash;
 use lynxcart::wire::gen::envelope::Body;
 use lynxcart::wire::gen::{heartbeat::Role, ConfigItem, Envelope, Heartbeat, ModelRole};
 use lynxcart::wire::{FrameKeys, MailIn, RequestKey, WIRE_VERSION};
 
-use crate::load::resident_kib;
+use crate::heap::bytes_in_use;
 
 /// Layers of the model that the replicas serve.
 const LAYERS: u32 = 12;
@@ -36,7 +40,8 @@
     pub unit: &'static str,
 }
 
-fn heartbeat(replica: u32, sequence: u64) -> Heartbeat {
+/// A heartbeat as replica number `replica` of a large fleet sends it.
+pub fn heartbeat(replica: u32, sequence: u64) -> Heartbeat {
     let width = LAYERS / STAGES;
     let stage = replica % STAGES;
     Heartbeat {
@@ -91,14 +96,12 @@
 
 /// Memory, time per heartbeat and time per choice of a chain, against replicas.
 pub fn replica_slope(count: u32) -> Vec<SlopePoint> {
-    let before = resident_kib(std::process::id()).unwrap_or(0);
+    let before = bytes_in_use();
     let mut state = entry();
     for replica in 0..count {
         state.handle(ClockTime(1), mail(replica, 1));
     }
-    let memory = resident_kib(std::process::id())
-        .unwrap_or(0)
-        .saturating_sub(before);
+    let memory = bytes_in_use().saturating_sub(before) / 1024;
     let rounds = 20_000 / count + 1;
     let began = Instant::now();
     for round in 0..rounds {
@@ -178,7 +181,7 @@
             revision: 1,
             value: serde_json::to_vec(&TeamRecord {
                 token_hash: token_hash(&format!("token-{number}")),
-                in_flight_limit: 1_000,
+                in_flight_limit: 10_000,
             })
             .unwrap_or_default(),
         }
@@ -194,14 +197,69 @@
     );
 }
 
+/// Memory of requests in flight at an entry, with prompts of 2000 bytes.
+pub fn request_slope(count: u32) -> Vec<SlopePoint> {
+    let mut state = entry();
+    for replica in 0..432 {
+        state.handle(ClockTime(1), mail(replica, 1));
+    }
+    configure(&mut state, 18, 1);
+    let before = bytes_in_use();
+    for number in 0..count {
+        let request = request(number, &format!("profile-{}", number % 18));
+        black_box(state.handle(ClockTime(1_000), EntryInput::Caller(request)));
+    }
+    let memory = bytes_in_use().saturating_sub(before) / 1024;
+    assert_eq!(state.in_flight(), count as usize);
+    vec![SlopePoint {
+        of: "requests",
+        count,
+        what: "memory",
+        value: memory as f64,
+        unit: "KiB",
+    }]
+}
+
+/// Memory of the keys that an owner remembers, each with an answer of 100 bytes.
+pub fn journal_slope(count: u32) -> Vec<SlopePoint> {
+    let before = bytes_in_use();
+    let mut journal = PartitionJournal::load("s", 0, 1, 1, &[]);
+    let mut cx = AgentContext::default();
+    for number in 0..count {
+        let hash = key_hash("team", &number.to_string());
+        journal.intend(&hash, vec![0; 16], u64::from(number), 1_000);
+        let answer = KeyAnswer {
+            status: 200,
+            content_type: "application/json".into(),
+            body: Some(vec![b'x'; 100]),
+        };
+        journal.finish(&hash, answer, 1_000);
+        while let Some(call) = journal.write_next(&mut cx) {
+            let written = PlatformAnswer::Txn {
+                succeeded: true,
+                revision: 1,
+                items: Vec::new(),
+            };
+            black_box(journal.answer(ClockTime(1), call, &Ok(written)));
+            cx.outputs.clear();
+        }
+    }
+    let memory = bytes_in_use().saturating_sub(before) / 1024;
+    vec![SlopePoint {
+        of: "keys",
+        count,
+        what: "memory",
+        value: memory as f64,
+        unit: "KiB",
+    }]
+}
+
 /// Memory and time per change, against configuration keys (a tenth profiles, the rest teams).
 pub fn config_slope(count: u32) -> Vec<SlopePoint> {
-    let before = resident_kib(std::process::id()).unwrap_or(0);
+    let before = bytes_in_use();
     let mut state = entry();
     configure(&mut state, count / 10, count - count / 10);
-    let memory = resident_kib(std::process::id())
-        .unwrap_or(0)
-        .saturating_sub(before);
+    let memory = bytes_in_use().saturating_sub(before) / 1024;
     let changes = 500;
     let began = Instant::now();
     for number in 0..changes {
