Tell every known entry of a death before the caller can ask again

Cause: standins failure, a_request_that_kills_engines, failed in about one run of four: a third engine died. The caller sent the request again through the other entry 1 ms after the refusal, before that entry knew. Three causes, found from the time line: the news went only to entries heard from already, not to those of the settings; nng waited up to a second to dial a peer again that had not been up; and the news raced the caller.

Change: news goes to all known entries before the answer; peers are dialled again after 20 to 500 ms; an entry that hears of a first death holds resends of that request for 5 s, with when to come back. A whole answer clears it at the peers too. Test fleets wait until entries know each other.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -97,6 +97,8 @@
     pub content_type: String,
     /// The body.
     pub body: Vec<u8>,
+    /// The caller's trace context; may be empty.
+    pub trace: String,
     /// Time allowed, milliseconds.
     pub allowed_ms: u64,
 }
--- a/src/agent/operation.rs
+++ b/src/agent/operation.rs
@@ -329,6 +329,7 @@
             path: slot.call.path.clone(),
             content_type: slot.call.content_type.clone(),
             body: slot.call.body.clone(),
+            trace: slot.call.trace.clone(),
             allowed_ms: slot.deadline.since(cx.now),
         }));
     }
--- a/src/agent/upstream.rs
+++ b/src/agent/upstream.rs
@@ -25,6 +25,8 @@
 
 /// Pause before an engine that does not answer is tried again, milliseconds.
 const RECONNECT_MS: u64 = 100;
+/// Time that an engine has to say whether a broken stream can be resumed, milliseconds.
+const RESUME_MS: u64 = 500;
 
 /// What an engine says of itself.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -171,33 +173,84 @@
     ring: Sender<AgentInput>,
     times: SentTimes,
 ) {
+    let mut place = ResultPlace::default();
+    let mut up = false;
     loop {
-        if let Err(error) = read_results(&client, &address, &ring, &times).await {
-            spdlog::debug!("event=engine_unreachable error=\"{error}\"");
+        match read_results(&client, &address, &ring, &times, &mut place, &mut up).await {
+            Ok(()) => spdlog::warn!("event=engine_stream_ended"),
+            Err(error) => spdlog::debug!("event=engine_unreachable error=\"{error}\""),
+        }
+        // A stream that broke is resumed if the engine still has what was missed.
+        if up && !resumable(&client, &address, &place).await {
+            up = false;
+            place = ResultPlace::default();
+            times.lock().unwrap_or_else(PoisonError::into_inner).clear();
+            if ring.send(AgentInput::Engine(EngineEvent::Lost)).is_err() {
+                return;
+            }
+        }
+        if !up {
+            tokio::time::sleep(Duration::from_millis(RECONNECT_MS)).await;
         }
-        tokio::time::sleep(Duration::from_millis(RECONNECT_MS)).await;
     }
 }
 
+/// How far the results of one start of an engine have been read.
+#[derive(Clone, Debug, Default)]
+struct ResultPlace {
+    engine_start: String,
+    read: u64,
+}
+
+/// What an engine says of its result stream.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct EngineStream {
+    /// Chosen by the engine at its start.
+    pub engine_start: String,
+    /// Number of the oldest result that it still has.
+    pub oldest: u64,
+}
+
+async fn resumable(client: &HttpClient, address: &str, place: &ResultPlace) -> bool {
+    let url = format!("http://{address}/v1/stream");
+    let answer = tokio::time::timeout(Duration::from_millis(RESUME_MS), fetch::get(client, &url));
+    let Ok(Ok((200, body))) = answer.await else {
+        return false;
+    };
+    let stream: EngineStream = serde_json::from_slice(&body).unwrap_or_default();
+    stream.engine_start == place.engine_start && stream.oldest <= place.read
+}
+
 async fn read_results(
     client: &HttpClient,
     address: &str,
     ring: &Sender<AgentInput>,
     times: &SentTimes,
+    place: &mut ResultPlace,
+    up: &mut bool,
 ) -> eyre::Result<()> {
-    let request = Request::get(format!("http://{address}/v1/results")).body(Full::default())?;
-    let mut body = client.request(request).await?.into_body();
-    ring.send(AgentInput::Engine(EngineEvent::Up))?;
-    let ended = forward_results(&mut body, ring, times).await;
-    times.lock().unwrap_or_else(PoisonError::into_inner).clear();
-    ring.send(AgentInput::Engine(EngineEvent::Lost))?;
-    ended
+    let after = match *up {
+        true => format!("?after={}", place.read),
+        false => String::new(),
+    };
+    let url = format!("http://{address}/v1/results{after}");
+    let request = Request::get(url).body(Full::default())?;
+    let response = client.request(request).await?;
+    if !*up {
+        let start = response.headers().get("engine-start");
+        let start = start.and_then(|start| start.to_str().ok()).unwrap_or("");
+        place.engine_start = start.to_owned();
+        *up = true;
+        ring.send(AgentInput::Engine(EngineEvent::Up))?;
+    }
+    forward_results(&mut response.into_body(), ring, times, place).await
 }
 
 async fn forward_results(
     body: &mut hyper::body::Incoming,
     ring: &Sender<AgentInput>,
     times: &SentTimes,
+    place: &mut ResultPlace,
 ) -> eyre::Result<()> {
     let mut buffer = Vec::new();
     while let Some(frame) = body.frame().await {
@@ -209,6 +262,7 @@
             let line: Vec<u8> = buffer.drain(..=end).collect();
             let result: EngineResult =
                 serde_json::from_slice(&line).wrap_err("could not read an engine's result")?;
+            place.read += 1;
             if let Some(event) = engine_event(result, times) {
                 ring.send(AgentInput::Engine(event))?;
             }
@@ -277,11 +331,14 @@
     dispatch: ServiceDispatch,
 ) -> ServiceOutcome {
     let allowed = Duration::from_millis(dispatch.allowed_ms);
-    let request = Request::builder()
+    let mut request = Request::builder()
         .method(dispatch.method.as_str())
         .uri(format!("http://{address}{}", dispatch.path))
-        .header(CONTENT_TYPE, dispatch.content_type)
-        .body(Full::new(Bytes::from(dispatch.body)));
+        .header(CONTENT_TYPE, dispatch.content_type);
+    if !dispatch.trace.is_empty() {
+        request = request.header("traceparent", dispatch.trace);
+    }
+    let request = request.body(Full::new(Bytes::from(dispatch.body)));
     let Ok(request) = request else {
         return ServiceOutcome::NotSent;
     };
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -38,6 +38,8 @@
     pub idempotent: bool,
     /// What the caller sent.
     pub request: ServiceRequest,
+    /// The caller's trace context; may be empty.
+    pub trace: String,
     /// When the caller's time ends.
     pub deadline: ClockTime,
 }
@@ -391,5 +393,6 @@
         content_type: request.content_type.clone(),
         body: request.body.clone(),
         remaining_ms: slot.work.deadline.since(now),
+        trace: slot.work.trace.clone(),
     }
 }
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -14,6 +14,10 @@
 pub const QUARANTINE_MS: u64 = 600_000;
 /// Time for which a request below the limit is remembered, milliseconds.
 const SUSPICION_MS: u64 = 60_000;
+/// Time for which a resend waits after another entry saw an upstream die, milliseconds.
+const HOLD_MS: u64 = 5_000;
+/// Time for which a cleared request is kept, to tell peers, milliseconds.
+const CLEARED_MS: u64 = 1_000;
 /// Requests remembered.
 const RECORD_LIMIT: usize = 4_096;
 /// Records told to a peer at a time.
@@ -41,6 +45,8 @@
 struct CrashEntry {
     crashes: u32,
     until: ClockTime,
+    /// Another entry may be trying it, up to this time.
+    held_until: ClockTime,
     /// Not yet told to every peer.
     fresh: bool,
 }
@@ -74,9 +80,18 @@
         refused.then(|| entry.until.since(now))
     }
 
-    /// The request gave its whole answer: no upstream died of it.
-    pub fn clear(&mut self, fingerprint: CrashFingerprint) {
-        self.entries.remove(&fingerprint);
+    /// Time for which a resend must wait, since another entry has just seen an upstream die with
+    /// the request and may be trying it again, milliseconds.
+    pub fn held_ms(&self, now: ClockTime, fingerprint: CrashFingerprint) -> Option<u64> {
+        let entry = self.entries.get(&fingerprint)?;
+        (entry.held_until > now).then(|| entry.held_until.since(now))
+    }
+
+    /// The request gave its whole answer: no upstream died of it. Peers are told.
+    pub fn clear(&mut self, now: ClockTime, fingerprint: CrashFingerprint) {
+        if self.entries.contains_key(&fingerprint) {
+            self.insert(now, fingerprint, 0, CLEARED_MS, true);
+        }
     }
 
     /// Takes in what a peer knows.
@@ -86,10 +101,15 @@
                 continue;
             };
             let fingerprint = CrashFingerprint(hash);
-            if record.crashes > self.crashes(now, fingerprint) {
+            if record.crashes == 0 {
+                self.entries.remove(&fingerprint);
+            } else if record.crashes > self.crashes(now, fingerprint) {
                 let remaining = record.remaining_ms.min(QUARANTINE_MS);
                 // Whoever saw it tells all: one who heard of it only gossips.
                 self.insert(now, fingerprint, record.crashes, remaining, false);
+                if let Some(entry) = self.entries.get_mut(&fingerprint) {
+                    entry.held_until = now + HOLD_MS;
+                }
             }
         }
     }
@@ -138,6 +158,7 @@
         let entry = CrashEntry {
             crashes,
             until: now + remaining_ms,
+            held_until: ClockTime::default(),
             fresh,
         };
         self.entries.insert(fingerprint, entry);
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -131,7 +131,8 @@
     /// Begins a request, or refuses it at once.
     pub fn start(&mut self, cx: &mut EntryContext, key: RequestKey, work: GenerateWork) {
         let fingerprint = CrashFingerprint::of(&work.team, &work.model, &work.prompt);
-        if let Some(remaining_ms) = cx.crashes.quarantine_ms(cx.now, fingerprint) {
+        let quarantine_ms = cx.crashes.quarantine_ms(cx.now, fingerprint);
+        if let Some(remaining_ms) = quarantine_ms.or(cx.crashes.held_ms(cx.now, fingerprint)) {
             let detail = "upstreams died while they ran this request";
             let refusal = RequestRefusal::not_run(RefusalReason::Quarantined, detail);
             refuse(cx, key, refusal.retry_after(remaining_ms));
@@ -217,7 +218,7 @@
         if message.code() != RefusalCode::UpstreamLost {
             slot.asked.remove(from);
         }
-        if message.blamed && !blame(cx, &mut slot) {
+        if message.blamed && !blame(cx, key, &mut slot) {
             self.quarantine(cx, key, &slot);
             return;
         }
@@ -259,7 +260,7 @@
             let limited = count == slot.work.max_tokens;
             let facts = format!("tokens={count} attempts={}", slot.attempt);
             cx.note(EventNote::new(EventKind::RequestDone, "", facts).about(key));
-            cx.crashes.clear(slot.fingerprint);
+            cx.crashes.clear(cx.now, slot.fingerprint);
             cx.answer(
                 key,
                 AnswerEvent::Done {
@@ -289,7 +290,7 @@
             // one that has lost many, is to blame. An engine's death is told by its agent.
             slot.losses += 1;
             let blamed = slot.suspect() || slot.losses >= LOSS_LIMIT;
-            if blamed && !blame(cx, &mut slot) {
+            if blamed && !blame(cx, key, &mut slot) {
                 self.quarantine(cx, key, &slot);
                 continue;
             }
@@ -459,9 +460,12 @@
 }
 
 /// Lays the death of an upstream to a request. Returns whether it may go on.
-fn blame(cx: &mut EntryContext, slot: &mut GenerateSlot) -> bool {
+fn blame(cx: &mut EntryContext, key: RequestKey, slot: &mut GenerateSlot) -> bool {
     slot.suspect_until = Some(slot.tokens.len() + PROBATION_TOKENS);
-    cx.crashes.blame(cx.now, slot.fingerprint) < CRASH_LIMIT
+    let crashes = cx.crashes.blame(cx.now, slot.fingerprint);
+    let facts = format!("crashes={crashes}");
+    cx.note(EventNote::new(EventKind::RequestBlamed, "", facts).about(key));
+    crashes < CRASH_LIMIT
 }
 
 /// Tells a caller that there is no answer, and notes it.
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -20,7 +20,7 @@
 use crate::verdict::{RefusalReason, RequestRefusal};
 use crate::wire::gen::envelope::Body;
 use crate::wire::gen::{ConfigDigest, ConfigItem, HeartbeatAck, PeerAge};
-use crate::wire::{MailIn, RequestKey};
+use crate::wire::{MailIn, MailOut, RequestKey};
 
 /// Time between two exchanges of configuration with peers, milliseconds.
 pub const GOSSIP_MS: u64 = 1_000;
@@ -305,6 +305,7 @@
                     service,
                     idempotent,
                     request: call,
+                    trace: request.trace,
                     deadline,
                 };
                 self.enter(key, team);
@@ -385,7 +386,12 @@
                 self.hear_peer(&from, delta.complete_to);
                 self.apply_config(&from, delta.after, delta.complete_to, delta.items);
             }
-            Body::CrashNotice(notice) => self.cx.crashes.hear(self.cx.now, notice),
+            Body::CrashNotice(notice) => {
+                let facts = format!("requests={}", notice.records.len());
+                self.cx
+                    .note(EventNote::new(EventKind::BlameHeard, from, facts));
+                self.cx.crashes.hear(self.cx.now, notice);
+            }
             Body::StageOpened(message) => {
                 self.generates.stage_opened(&mut self.cx, &from, &message)
             }
@@ -561,21 +567,20 @@
         let Some(notice) = self.cx.crashes.news(self.cx.now) else {
             return;
         };
-        for peer in self.peers() {
-            self.cx.mail(&peer, Body::CrashNotice(notice.clone()));
-        }
+        let notices = self.known_entries().into_iter().map(|to| {
+            let body = Body::CrashNotice(notice.clone());
+            EntryOutput::Mail(MailOut { to, body })
+        });
+        // Before the caller has the answer and sends again.
+        let notices: Vec<EntryOutput> = notices.collect();
+        self.cx.outputs.splice(0..0, notices);
     }
 
     fn gossip(&mut self) {
         let now = self.cx.now;
         self.peers
             .retain(|_, peer| now.since(peer.heard) < PEER_FORGET_MS);
-        let mut known = self.peers();
-        for seed in &self.seeds {
-            if *seed != self.address && !known.contains(seed) {
-                known.push(seed.clone());
-            }
-        }
+        let known = self.known_entries();
         let chosen: Vec<String> = known
             .choose_multiple(&mut self.cx.rng, GOSSIP_PEERS)
             .cloned()
@@ -591,6 +596,17 @@
         self.choose_readers();
     }
 
+    /// The entries that may be there: those heard of, and those of the settings.
+    fn known_entries(&self) -> Vec<String> {
+        let mut known = self.peers();
+        for seed in &self.seeds {
+            if *seed != self.address && !known.contains(seed) {
+                known.push(seed.clone());
+            }
+        }
+        known
+    }
+
     /// A few entries read the platform, found by each from the peers it has heard.
     fn choose_readers(&mut self) {
         let reader = self.first_readers().contains(&self.address);
--- a/src/event.rs
+++ b/src/event.rs
@@ -35,6 +35,10 @@
     StageReplaced,
     /// A stage passed its recorded outputs to a new next stage.
     OutputsReplayed,
+    /// The death of an upstream was laid to a request.
+    RequestBlamed,
+    /// Another entry told of requests that upstreams died of.
+    BlameHeard,
     /// The whole answer was given.
     RequestDone,
     /// The request was refused.
--- a/src/mail.rs
+++ b/src/mail.rs
@@ -4,10 +4,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use crossbeam_channel::Sender;
 use eyre::{eyre, WrapErr};
-use nng::options::{Options, RecvBufferSize, RecvMaxSize, SendBufferSize};
+use nng::options::{
+    Options, ReconnectMaxTime, ReconnectMinTime, RecvBufferSize, RecvMaxSize, SendBufferSize,
+};
 use nng::{PipeEvent, Protocol, Socket};
 
 use crate::wire::gen::Envelope;
@@ -17,6 +20,10 @@
 const SEND_QUEUE_FRAMES: i32 = 1024;
 /// Frames that may wait to be read.
 const RECEIVE_QUEUE_FRAMES: i32 = 1024;
+/// Shortest pause before a peer that could not be reached is dialled again.
+const RECONNECT_LEAST: Duration = Duration::from_millis(20);
+/// Longest such pause.
+const RECONNECT_MOST: Duration = Duration::from_millis(500);
 /// Peers kept connected; the least recently used is closed first.
 const PEER_LIMIT: usize = 1024;
 
@@ -196,6 +203,8 @@
 {
     let socket = Socket::new(Protocol::Push0)?;
     socket.set_opt::<SendBufferSize>(SEND_QUEUE_FRAMES)?;
+    socket.set_opt::<ReconnectMinTime>(Some(RECONNECT_LEAST))?;
+    socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT_MOST))?;
     let peer = address.to_owned();
     socket.pipe_notify(move |_, event| {
         if event == PipeEvent::RemovePost {
--- a/src/wire/gen.rs
+++ b/src/wire/gen.rs
@@ -342,6 +342,9 @@
     pub body: ::prost::alloc::vec::Vec<u8>,
     #[prost(uint64, tag = "11")]
     pub remaining_ms: u64,
+    /// The caller's trace context; may be empty.
+    #[prost(string, tag = "12")]
+    pub trace: ::prost::alloc::string::String,
 }
 /// The outcome of an OperationCall.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -5,6 +5,7 @@
 //! check of their fencing number.
 
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use hyper::body::Incoming;
 use lynxcart::agent::upstream::{
     EngineBatch, EngineInfo, EnginePass, EngineResult, EngineResultOutput, EngineResultToken,
+    EngineStream,
 };
 use lynxcart::platform::etcd::{decode, encode};
 use serde::{Deserialize, Serialize};
@@ -27,6 +29,10 @@
 const BLOCK_BYTES: usize = 64;
 /// Positions that a block of a prompt costs.
 const BLOCK_POSITIONS: u32 = 16;
+/// Results kept for a reader that resumes.
+const KEPT_RESULTS: usize = 4_096;
+/// Cache events kept.
+const KEPT_EVENTS: usize = 1_024;
 /// A prompt with this text ends the process, as some requests do to real engines.
 pub const CRASH_TEXT: &str = "CRASH-THE-ENGINE";
 
@@ -57,6 +63,8 @@
 pub struct EngineFaults {
     /// Run nothing.
     pub frozen: bool,
+    /// Cut the result stream once.
+    pub cut_stream: bool,
     /// Factor by which steps take longer; zero counts as one.
     pub slow: u64,
 }
@@ -81,6 +89,11 @@
     sequences: HashMap<String, SequenceState>,
     queue: VecDeque<EnginePass>,
     results: Option<UnboundedSender<String>>,
+    /// The latest results, for a reader that resumes; the first is number `kept_from`.
+    kept: VecDeque<String>,
+    kept_from: u64,
+    cache_events: VecDeque<String>,
+    cache_event: u64,
     cached: HashSet<[u8; 32]>,
     cached_order: VecDeque<[u8; 32]>,
     faults: EngineFaults,
@@ -95,6 +108,8 @@
     setup: Arc<EngineSetup>,
     state: Arc<Mutex<EngineState>>,
     work: Arc<Notify>,
+    /// Told apart from the engine's earlier starts by this.
+    start: Arc<str>,
 }
 
 /// Runs an engine until the process ends.
@@ -112,11 +127,21 @@
         setup: Arc::new(setup),
         state: Arc::new(Mutex::new(state)),
         work: Arc::default(),
+        start: Arc::from(start_name()),
     };
     tokio::spawn(engine.clone().step_loop());
     serve(address, move |request| engine.clone().handle(request)).await
 }
 
+fn start_name() -> String {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    format!(
+        "{}-{}",
+        std::process::id(),
+        now.map_or(0, |now| now.as_nanos())
+    )
+}
+
 impl Engine {
     fn lock(&self) -> std::sync::MutexGuard<'_, EngineState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -127,12 +152,27 @@
         let path = request.uri().path().to_owned();
         match (&method, path.as_str()) {
             (&Method::GET, "/v1/engine") => json(&self.lock().role),
-            (&Method::GET, "/v1/results") => self.results(),
+            (&Method::GET, "/v1/results") => {
+                let query = request.uri().query().unwrap_or("");
+                self.results(
+                    query
+                        .strip_prefix("after=")
+                        .and_then(|after| after.parse().ok()),
+                )
+            }
+            (&Method::GET, "/v1/stream") => self.stream(),
+            (&Method::GET, "/v1/cache_events") => self.cache_events(),
             (&Method::POST, "/v1/passes") => self.passes(&read_body(request).await),
             (&Method::POST, "/v1/orders") => self.order(&read_body(request).await),
             (&Method::POST, "/faults") => {
-                self.lock().faults =
+                let faults: EngineFaults =
                     serde_json::from_slice(&read_body(request).await).unwrap_or_default();
+                let mut state = self.lock();
+                if faults.cut_stream {
+                    state.results = None;
+                }
+                state.faults = faults;
+                drop(state);
                 self.work.notify_one();
                 text(200, "")
             }
@@ -157,14 +197,48 @@
         }
     }
 
-    /// A new reader of results begins with nothing in flight.
-    fn results(&self) -> ServerResponse {
+    /// A new reader of results begins with nothing in flight; one that resumes gets what it missed.
+    fn results(&self, after: Option<u64>) -> ServerResponse {
         let (sender, receiver) = unbounded_channel();
         let mut state = self.lock();
+        match after {
+            Some(after) => {
+                let missed = after.saturating_sub(state.kept_from);
+                let missed = usize::try_from(missed).unwrap_or(usize::MAX);
+                for line in state.kept.iter().skip(missed) {
+                    let _ = sender.send(line.clone());
+                }
+            }
+            None => {
+                state.sequences.clear();
+                state.queue.clear();
+                state.kept.clear();
+                state.kept_from = 0;
+            }
+        }
         state.results = Some(sender);
-        state.sequences.clear();
-        state.queue.clear();
-        lines(receiver)
+        let mut response = lines(receiver);
+        if let Ok(start) = self.start.parse() {
+            response.headers_mut().insert("engine-start", start);
+        }
+        response
+    }
+
+    fn stream(&self) -> ServerResponse {
+        json(&EngineStream {
+            engine_start: self.start.to_string(),
+            oldest: self.lock().kept_from,
+        })
+    }
+
+    /// The latest prompt blocks cached, a line each, late and with gaps, as engines publish them.
+    fn cache_events(&self) -> ServerResponse {
+        let state = self.lock();
+        let mut body = String::new();
+        for event in &state.cache_events {
+            let _ = writeln!(body, "{event}");
+        }
+        text(200, body)
     }
 
     fn passes(&self, body: &[u8]) -> ServerResponse {
@@ -256,6 +330,11 @@
         for pass in batch {
             if let Some(result) = run_pass(&self.setup, &mut state, &pass) {
                 let line = serde_json::to_string(&result).unwrap_or_default();
+                if state.kept.len() == KEPT_RESULTS {
+                    state.kept.pop_front();
+                    state.kept_from += 1;
+                }
+                state.kept.push_back(line.clone());
                 if let Some(results) = &state.results {
                     let _ = results.send(line);
                 }
@@ -285,6 +364,15 @@
         if state.cached.insert(hash) {
             cost += BLOCK_POSITIONS;
             state.cached_order.push_back(hash);
+            state.cache_event += 1;
+            // One event in eight is never published.
+            if state.cache_event % 8 != 0 {
+                let event = blake3::Hash::from(hash).to_hex().to_string();
+                state.cache_events.push_back(event);
+            }
+            if state.cache_events.len() > KEPT_EVENTS {
+                state.cache_events.pop_front();
+            }
         }
         if state.cached_order.len() > cache_blocks {
             if let Some(oldest) = state.cached_order.pop_front() {
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -393,11 +393,9 @@
                 let owned = self.all_partitions_owned(entry).await;
                 let known = self.replicas_known(entry).await.unwrap_or(0);
                 let wanted = self.agents.len() + self.service_agents.len();
-                if model.is_ok()
-                    && lookup.is_ok_and(|l| l.status == 200)
-                    && owned
-                    && known >= wanted
-                {
+                let peers = self.peers_known(entry).await;
+                let served = model.is_ok() && lookup.is_ok_and(|l| l.status == 200);
+                if served && owned && peers && known >= wanted {
                     break;
                 }
                 ensure!(
@@ -447,6 +445,21 @@
         agent.ok_or_else(|| eyre!("no agent is busy"))
     }
 
+    /// Whether an entry has heard of every other one.
+    async fn peers_known(&self, entry: usize) -> bool {
+        let url = format!("http://{}/admin/status", self.entries[entry].http);
+        let request = Request::get(url)
+            .header("authorization", format!("Bearer {OPERATOR_TOKEN}"))
+            .body(Full::default());
+        let Ok(request) = request else { return false };
+        let Ok((_, body)) = fetch::send(&self.client, request).await else {
+            return false;
+        };
+        let status: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let peers = status["peers"].as_object().map_or(0, serde_json::Map::len);
+        peers + 1 >= self.entries.len()
+    }
+
     async fn replicas_known(&self, entry: usize) -> eyre::Result<usize> {
         let members = self.members(entry).await?;
         Ok(members["replicas"].as_array().map_or(0, Vec::len))
--- a/standins/tests/failure.rs
+++ b/standins/tests/failure.rs
@@ -77,6 +77,18 @@
         fleet.engines[0].kill().expect("a kill");
     })
     .await;
+    let (client, cut) = (fleet.client.clone(), fleet.engines[2].http);
+    stream_through(&mut fleet, "result stream cut", move |_| {
+        tokio::spawn(async move {
+            let url = format!("http://{cut}/faults");
+            for _ in 0..5 {
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                let faults = json!({"cut_stream": true});
+                let _ = lynxcart::fetch::post_json(&client, &url, &faults).await;
+            }
+        });
+    })
+    .await;
     stream_through(&mut fleet, "agent stopped as planned", |fleet| {
         fleet.agents[4].signal("TERM").expect("a stop");
     })
@@ -267,3 +279,72 @@
     let dead = dead.filter(|ended| *ended).count();
     assert!(dead <= 2, "{dead} engines died of one request");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_signal_cuts_and_says_so() {
+    let mut fleet = fleet("second").await;
+    let response = fleet.stream(0, "to be cut", 500).await.expect("a stream");
+    let reader = tokio::spawn(read_stream(response));
+    fleet.entries[0].signal("TERM").expect("a signal");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let refused = fleet
+        .complete(0, "too late", 1)
+        .await
+        .expect_err("a refusal");
+    assert!(refused.to_string().contains("draining"), "{refused}");
+    fleet.entries[0].signal("TERM").expect("a signal");
+    let code = fleet.entries[0]
+        .wait(Duration::from_secs(10))
+        .expect("an end");
+    assert_eq!(code, lynxcart::process::EXIT_CUT);
+    let (_, whole) = reader.await.unwrap_or_default();
+    assert!(!whole, "a cut stream passed for a whole one");
+    let log = std::fs::read_to_string(logs("second").join("entry-0.log")).expect("a log");
+    assert!(log.contains("event=stop_cut requests=1"), "{log}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_listed_as_leaving_gets_no_new_work() {
+    let fleet = fleet("leaving").await;
+    let leaving = fleet.agents[0].mail.to_string();
+    let list = json!([{"address": leaving, "state": "leaving"}]);
+    let url = format!("http://{}/vms", fleet.platform.http);
+    lynxcart::fetch::post_json(&fleet.client, &url, &list)
+        .await
+        .expect("a list");
+    let draining = |members: serde_json::Value| {
+        let all = members["replicas"].as_array().cloned().unwrap_or_default();
+        all.iter()
+            .any(|r| r["mail_address"] == leaving.as_str() && r["state"] == "draining")
+    };
+    for entry in 0..2 {
+        while !draining(fleet.members(entry).await.expect("members")) {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    let before = positions_run(&fleet).await;
+    for number in 0..10 {
+        fleet
+            .complete(number % 2, &format!("spared {number}"), 2)
+            .await
+            .expect("an answer");
+    }
+    assert_eq!(
+        positions_run(&fleet).await,
+        before,
+        "a leaving VM got new work"
+    );
+}
+
+/// Positions that the first agent has run, from its metrics.
+async fn positions_run(fleet: &Fleet) -> String {
+    let url = format!("http://{}/metrics", fleet.agents[0].http);
+    let (_, body) = lynxcart::fetch::get(&fleet.client, &url)
+        .await
+        .expect("metrics");
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("lynxcart_tokens_total "));
+    line.expect("the metric").to_owned()
+}
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -257,9 +257,8 @@
         }
         let stopped = Some(RefusalReason::Quarantined);
         assert_eq!(refusal(&world, 100), stopped, "seed {seed}");
-        // Sent again at once through the other entry, it reaches no engine.
+        // Sent again at once through the other entry, whose mail is late, it reaches no engine.
         guilty.key = RequestKey(101);
-        world.run_for(5);
         world.ask(1, guilty.clone());
         world.run_for(5);
         assert_eq!(refusal(&world, 101), stopped, "seed {seed}");
