--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -5,6 +5,7 @@
 pub mod journal;
 pub mod operation;
 pub mod owner;
+mod reply;
 pub mod run;
 pub mod stage;
 pub mod state;
--- a/src/agent/operation.rs
+++ b/src/agent/operation.rs
@@ -6,8 +6,11 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::agent::journal::{JournalNews, KeyAnswer, KeyState, OperationId, KEEP_BYTES};
+use crate::agent::journal::{JournalNews, KeyAnswer, KeyState, OperationId};
 use crate::agent::owner::{OwnerNews, OwnerTable};
+use crate::agent::reply::{
+    call_digest, kept, key_answer, reply_answer, reply_refused, OperationWaiter,
+};
 use crate::agent::{AgentContext, AgentOutput, ServiceDispatch, ServiceOutcome};
 use crate::clock::ClockTime;
 use crate::event::{EventKind, EventNote};
@@ -15,9 +18,7 @@
 use crate::util::{key_hash, key_partition};
 use crate::verdict::RunVerdict;
 use crate::wire::gen::envelope::Body;
-use crate::wire::gen::{
-    OperationCall, OperationReply, OperationStrike, OperationStruck, RefusalCode, WireVerdict,
-};
+use crate::wire::gen::{OperationCall, OperationStrike, OperationStruck, RefusalCode, WireVerdict};
 use crate::wire::RequestKey;
 
 /// Resends that may wait for the same operation.
@@ -29,13 +30,6 @@
 /// When to come back while an earlier try runs, milliseconds.
 const IN_PROGRESS_RETRY_MS: u64 = 500;
 
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct OperationWaiter {
-    reply_to: String,
-    request: RequestKey,
-    attempt: u32,
-}
-
 #[derive(Clone, Debug)]
 struct OperationKey {
     partition: u32,
@@ -556,77 +550,3 @@
         }
     }
 }
-
-fn key_answer(outcome: ServiceOutcome) -> Option<KeyAnswer> {
-    match outcome {
-        ServiceOutcome::Answered {
-            status,
-            content_type,
-            body,
-        } => Some(KeyAnswer {
-            status: u32::from(status),
-            content_type,
-            body: Some(body),
-        }),
-        ServiceOutcome::NotSent | ServiceOutcome::Unknown => None,
-    }
-}
-
-/// The answer as it is kept for a resend.
-fn kept(answer: &KeyAnswer) -> KeyAnswer {
-    let mut answer = answer.clone();
-    answer.body = answer.body.filter(|body| body.len() <= KEEP_BYTES);
-    answer
-}
-
-fn call_digest(call: &OperationCall) -> Vec<u8> {
-    let mut hasher = blake3::Hasher::new();
-    for part in [&call.method, &call.path, &call.content_type] {
-        hasher.update(part.as_bytes());
-        hasher.update(&[0]);
-    }
-    hasher.update(&call.body);
-    hasher.finalize().as_bytes()[..16].to_vec()
-}
-
-fn reply_refused(
-    cx: &mut AgentContext,
-    waiter: &OperationWaiter,
-    verdict: RunVerdict,
-    code: RefusalCode,
-    retry_after_ms: u64,
-) {
-    let reply = OperationReply {
-        request: Some(waiter.request.into()),
-        attempt: waiter.attempt,
-        verdict: WireVerdict::from(verdict).into(),
-        code: code.into(),
-        retry_after_ms,
-        ..OperationReply::default()
-    };
-    cx.mail(&waiter.reply_to, Body::OperationReply(reply));
-}
-
-fn reply_answer(
-    cx: &mut AgentContext,
-    waiter: &OperationWaiter,
-    answer: &KeyAnswer,
-    replayed: bool,
-) {
-    let code = match answer.body {
-        Some(_) => RefusalCode::Unspecified,
-        None => RefusalCode::AnswerNotKept,
-    };
-    let reply = OperationReply {
-        request: Some(waiter.request.into()),
-        attempt: waiter.attempt,
-        verdict: WireVerdict::Ran.into(),
-        code: code.into(),
-        status: answer.status,
-        content_type: answer.content_type.clone(),
-        body: answer.body.clone().unwrap_or_default(),
-        retry_after_ms: 0,
-        replayed,
-    };
-    cx.mail(&waiter.reply_to, Body::OperationReply(reply));
-}
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -17,14 +17,14 @@
 use crate::agent::state::{AgentInput, AgentSetup, AgentState, UpstreamSetup};
 use crate::agent::upstream::{engine_loop, engine_role, service_loop};
 use crate::agent::{AgentOutput, EngineOrder, ServiceDispatch};
-use crate::clock::{ClockTime, MonotonicClock};
+use crate::clock::MonotonicClock;
 use crate::config::{AgentConfig, UpstreamAddress};
 use crate::event::{wall_millis, EventKind, EventNote};
 use crate::fetch;
 use crate::mail::{self, MailEvent, MailPost};
 use crate::platform::etcd::EtcdStore;
 use crate::platform::{PlatformCall, PlatformStore};
-use crate::process::{common_routes, on_stop_signal, ProcessParts, EXIT_CUT};
+use crate::process::{common_routes, on_stop_signal, spawn, DrainWatch, ProcessParts, FLUSH_MS};
 use crate::web::{answer, serve, WebRoute};
 
 /// Inputs that may wait for the deciding thread.
@@ -33,10 +33,6 @@
 const EDGE_ORDERS: usize = 65_536;
 /// Longest sleep of the deciding thread, milliseconds.
 const SLEEP_MS: u64 = 1_000;
-/// Time after the start of a planned stop in which entries learn of it, milliseconds.
-const LINGER_MS: u64 = 1_000;
-/// Time for the last messages to leave, milliseconds.
-const FLUSH_MS: u64 = 300;
 
 impl From<MailEvent> for AgentInput {
     fn from(event: MailEvent) -> AgentInput {
@@ -109,7 +105,7 @@
     drain_limit_ms: u64,
 ) -> eyre::Result<i32> {
     let clock = MonotonicClock::start();
-    let mut drain_began: Option<ClockTime> = None;
+    let mut drain = DrainWatch::new(drain_limit_ms);
     loop {
         let sleep = state.wake().since(clock.now()).min(SLEEP_MS);
         let input = match inputs.recv_timeout(Duration::from_millis(sleep)) {
@@ -118,9 +114,8 @@
             Err(RecvTimeoutError::Disconnected) => return Err(eyre!("every edge has ended")),
         };
         let now = clock.now();
-        let second_stop = matches!(input, AgentInput::Drain) && drain_began.is_some();
-        if matches!(input, AgentInput::Drain) && drain_began.is_none() {
-            drain_began = Some(now);
+        if matches!(input, AgentInput::Drain) {
+            drain.signal(now);
             draining.store(true, Ordering::Relaxed);
         }
         for output in state.handle(now, input) {
@@ -128,27 +123,16 @@
         }
         let gauge = i64::try_from(state.in_flight()).unwrap_or(i64::MAX);
         edges.parts.metrics.in_flight.set(gauge);
-        let Some(began) = drain_began else { continue };
-        let over = now.since(began) >= drain_limit_ms;
-        if state.is_drained() && now.since(began) >= LINGER_MS {
-            return stop(state, edges, 0);
-        }
-        if over || second_stop {
-            spdlog::error!("event=stop_cut requests={}", state.in_flight());
-            return stop(state, edges, EXIT_CUT);
+        if let Some(code) = drain.code(now, state.is_drained(), state.in_flight()) {
+            for output in state.finish() {
+                edges.carry_out(output)?;
+            }
+            thread::sleep(Duration::from_millis(FLUSH_MS));
+            return Ok(code);
         }
     }
 }
 
-fn stop(mut state: AgentState, mut edges: AgentEdges, code: i32) -> eyre::Result<i32> {
-    for output in state.finish() {
-        edges.carry_out(output)?;
-    }
-    thread::sleep(Duration::from_millis(FLUSH_MS));
-    spdlog::info!("event=stopped code={code}");
-    Ok(code)
-}
-
 impl AgentEdges {
     fn carry_out(&mut self, output: AgentOutput) -> eyre::Result<()> {
         match output {
@@ -256,12 +240,3 @@
         }
     })
 }
-
-/// Starts the thread of a duty.
-fn spawn(name: &str, duty: impl FnOnce() + Send + 'static) -> eyre::Result<()> {
-    thread::Builder::new()
-        .name(name.into())
-        .spawn(duty)
-        .map_err(|error| eyre!("could not start the {name} thread: {error}"))?;
-    Ok(())
-}
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use crossbeam_channel::{Sender, TrySendError};
-use eyre::eyre;
 use futures_util::{stream, FutureExt, TryStreamExt};
 use gotham::helpers::http::Body;
 use gotham::router::builder::{build_simple_router, DefineSingleRoute, DrawRoutes};
@@ -23,7 +22,7 @@
 use crate::entry::run::{EntryEvent, EntryQuestion};
 use crate::entry::state::EntryInput;
 use crate::entry::{AnswerEvent, CallerRequest, CallerWork, ServiceRequest};
-use crate::process::{common_routes, ProcessParts};
+use crate::process::{common_routes, spawn, ProcessParts};
 use crate::verdict::{RefusalReason, RequestRefusal};
 use crate::web::{answer, answer_json, problem, problem_json, serve, WebRequest, WebRoute};
 use crate::wire::RequestKey;
@@ -153,16 +152,12 @@
         .thread_name("http")
         .enable_all()
         .build()?;
-    std::thread::Builder::new()
-        .name("http".into())
-        .spawn(move || {
-            if let Err(error) = runtime.block_on(serve(address, router)) {
-                spdlog::critical!("event=http_failed error=\"{error}\"");
-                std::process::exit(1);
-            }
-        })
-        .map_err(|error| eyre!("could not start the http thread: {error}"))?;
-    Ok(())
+    spawn("http", move || {
+        if let Err(error) = runtime.block_on(serve(address, router)) {
+            spdlog::critical!("event=http_failed error=\"{error}\"");
+            std::process::exit(1);
+        }
+    })
 }
 
 fn ready_route(desk: CallerDesk) -> WebRoute {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,6 +7,7 @@
 pub mod generate;
 pub mod http;
 pub mod operator;
+pub mod peer;
 pub mod run;
 pub mod state;
 
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -22,7 +22,7 @@
 use crate::mail::{self, MailEvent, MailPost};
 use crate::platform::etcd::EtcdStore;
 use crate::platform::{prefix_end, PlatformAnswer, PlatformCall, PlatformItem, PlatformStore};
-use crate::process::{on_stop_signal, ProcessParts, EXIT_CUT};
+use crate::process::{on_stop_signal, spawn, DrainWatch, ProcessParts, FLUSH_MS};
 use crate::profile::CONFIG_PREFIX;
 use crate::wire::gen::ConfigItem;
 use crate::wire::RequestKey;
@@ -31,10 +31,6 @@
 const RING_INPUTS: usize = 8_192;
 /// Longest sleep of the deciding thread, milliseconds.
 const SLEEP_MS: u64 = 1_000;
-/// Time after the start of a planned stop in which the balancer learns of it, milliseconds.
-const LINGER_MS: u64 = 1_000;
-/// Time for the last bytes to leave, milliseconds.
-const FLUSH_MS: u64 = 300;
 /// Pause before a failed read of the platform is tried again, milliseconds.
 const READ_RETRY_MS: u64 = 500;
 /// Time after which a watch is given up for a new read, milliseconds.
@@ -120,7 +116,7 @@
     drain_limit_ms: u64,
 ) -> eyre::Result<i32> {
     let clock = MonotonicClock::start();
-    let mut drain_began: Option<ClockTime> = None;
+    let mut drain = DrainWatch::new(drain_limit_ms);
     loop {
         let sleep = state.wake().since(clock.now()).min(SLEEP_MS);
         let event = match events.recv_timeout(Duration::from_millis(sleep)) {
@@ -129,21 +125,13 @@
             Err(RecvTimeoutError::Disconnected) => return Err(eyre!("every edge has ended")),
         };
         let now = clock.now();
-        let stop = matches!(event, EntryEvent::Input(EntryInput::Drain));
-        let second_stop = stop && drain_began.is_some();
-        if stop && drain_began.is_none() {
-            drain_began = Some(now);
+        if matches!(event, EntryEvent::Input(EntryInput::Drain)) {
+            drain.signal(now);
         }
         edges.step(&mut state, now, event);
-        let Some(began) = drain_began else { continue };
-        if state.in_flight() == 0 && now.since(began) >= LINGER_MS {
+        if let Some(code) = drain.code(now, state.in_flight() == 0, state.in_flight()) {
             thread::sleep(Duration::from_millis(FLUSH_MS));
-            spdlog::info!("event=stopped code=0");
-            return Ok(0);
-        }
-        if now.since(began) >= drain_limit_ms || second_stop {
-            spdlog::error!("event=stop_cut requests={}", state.in_flight());
-            return Ok(EXIT_CUT);
+            return Ok(code);
         }
     }
 }
@@ -239,7 +227,7 @@
             "in_flight": state.in_flight(),
             "reader": state.reader(),
             "replicas": state.members().iter().count(),
-            "peers": state.peer_revisions(),
+            "peers": state.peers().revisions(),
         }),
         EntryQuestion::Members => {
             let replicas = state.members().iter().map(|(_, record)| {
@@ -290,18 +278,14 @@
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let store = EtcdStore::new(config.platform.to_string());
     let vm_list = config.vm_list.map(|address| address.to_string());
-    thread::Builder::new()
-        .name("platform".into())
-        .spawn(move || {
-            runtime.block_on(async move {
-                if let Some(address) = vm_list {
-                    tokio::spawn(read_vm_list(address, ring.clone()));
-                }
-                read_config(store, ring, reading).await;
-            });
-        })
-        .map_err(|error| eyre!("could not start the platform thread: {error}"))?;
-    Ok(())
+    spawn("platform", move || {
+        runtime.block_on(async move {
+            if let Some(address) = vm_list {
+                tokio::spawn(read_vm_list(address, ring.clone()));
+            }
+            read_config(store, ring, reading).await;
+        });
+    })
 }
 
 /// Reads and watches the configuration while this entry is one of those that do.
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -1,7 +1,7 @@
 //! The decisions of an entry: who may ask, what the configuration is, and which table a message
 //! belongs to.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -11,31 +11,24 @@
 use crate::entry::call::{CallTable, CallWork};
 use crate::entry::crash::CrashTable;
 use crate::entry::generate::{refuse, GenerateTable, GenerateWork};
+use crate::entry::peer::{PeerTable, PEER_VIEW};
 use crate::entry::{AnswerEvent, CallerRequest, CallerWork, EntryContext, EntryOutput};
 use crate::event::{EventKind, EventNote};
 use crate::mail::MailEvent;
 use crate::member::{MemberChange, MemberTable};
 use crate::profile::{ConfigTable, KeylessPolicy, ProfileTarget};
-use crate::util::{addresses_hash, rendezvous_pick};
+use crate::util::addresses_hash;
 use crate::verdict::{RefusalReason, RequestRefusal};
 use crate::wire::gen::envelope::Body;
-use crate::wire::gen::{ConfigDigest, ConfigItem, HeartbeatAck, PeerAge};
+use crate::wire::gen::{ConfigDigest, ConfigItem, HeartbeatAck};
 use crate::wire::{MailIn, MailOut, RequestKey};
 
 /// Time between two exchanges of configuration with peers, milliseconds.
 pub const GOSSIP_MS: u64 = 1_000;
 /// Peers asked in one exchange.
 const GOSSIP_PEERS: usize = 2;
-/// Peers named in one exchange.
-const DIGEST_PEERS: usize = 4;
 /// Heartbeats of which one is answered with the entries when the view is full.
 const TELL_ENTRIES_ONE_IN: u32 = 16;
-/// Peers known at most.
-const PEER_VIEW: usize = 32;
-/// An entry that has been silent for this long is no peer, milliseconds.
-const PEER_FORGET_MS: u64 = 60_000;
-/// Entries that read the platform; the others learn from them.
-const READER_COUNT: usize = 3;
 /// Requests in flight at one entry.
 const IN_FLIGHT_LIMIT: usize = 4096;
 /// When to come back after a refusal for a limit, milliseconds.
@@ -78,25 +71,16 @@
     pub rng_seed: u64,
 }
 
-/// What is known of another entry.
-#[derive(Clone, Copy, Debug)]
-struct PeerEntry {
-    heard: ClockTime,
-    config_revision: u64,
-}
-
 /// The state of an entry.
 #[derive(Debug)]
 pub struct EntryState {
-    address: String,
     cx: EntryContext,
     config: ConfigTable,
     generates: GenerateTable,
     calls: CallTable,
     teams: HashMap<String, u32>,
     team_of: HashMap<RequestKey, String>,
-    seeds: Vec<String>,
-    peers: BTreeMap<String, PeerEntry>,
+    peers: PeerTable,
     gossip_at: ClockTime,
     reader: bool,
     draining: bool,
@@ -106,7 +90,6 @@
     /// An entry that knows nothing yet.
     pub fn new(setup: EntrySetup) -> EntryState {
         EntryState {
-            address: setup.address,
             cx: EntryContext {
                 now: ClockTime::default(),
                 members: MemberTable::default(),
@@ -119,8 +102,7 @@
             calls: CallTable::default(),
             teams: HashMap::new(),
             team_of: HashMap::new(),
-            seeds: setup.seeds,
-            peers: BTreeMap::new(),
+            peers: PeerTable::new(setup.address, setup.seeds),
             gossip_at: ClockTime::default(),
             reader: false,
             draining: false,
@@ -137,29 +119,9 @@
         &self.cx.members
     }
 
-    /// Other entries heard of lately, by mail address.
-    pub fn peers(&self) -> Vec<String> {
-        self.peers.keys().cloned().collect()
-    }
-
-    /// The config revision that each other entry last said it has in force.
-    pub fn peer_revisions(&self) -> BTreeMap<String, u64> {
-        let peers = self.peers.iter();
-        peers
-            .map(|(address, peer)| (address.clone(), peer.config_revision))
-            .collect()
-    }
-
-    fn hear_peer(&mut self, from: &str, config_revision: u64) {
-        let heard = self.cx.now;
-        let peer = PeerEntry {
-            heard,
-            config_revision,
-        };
-        if !self.peers.contains_key(from) {
-            self.make_room_for_peer();
-        }
-        self.peers.insert(from.to_owned(), peer);
+    /// Other entries known.
+    pub fn peers(&self) -> &PeerTable {
+        &self.peers
     }
 
     /// Requests in flight.
@@ -383,7 +345,8 @@
             }
             Body::ConfigDigest(digest) => self.digest(&from, digest),
             Body::ConfigDelta(delta) => {
-                self.hear_peer(&from, delta.complete_to);
+                self.peers
+                    .hear(self.cx.now, &from, delta.complete_to, &mut self.cx.rng);
                 self.apply_config(&from, delta.after, delta.complete_to, delta.items);
             }
             Body::CrashNotice(notice) => {
@@ -414,8 +377,7 @@
     }
 
     fn heartbeat_ack(&mut self, known_hash: u64, heartbeat_ms: u64) -> HeartbeatAck {
-        let mut entries = self.peers();
-        entries.push(self.address.clone());
+        let mut entries = self.peers.with_self();
         let entries_hash = addresses_hash(&entries);
         // A large view changes all the time: an agent that has one is told of it now and then.
         let known = known_hash != 0 && !self.cx.rng.random_ratio(1, TELL_ENTRIES_ONE_IN);
@@ -455,9 +417,10 @@
 
     fn digest(&mut self, from: &str, digest: ConfigDigest) {
         let theirs = digest.complete_to;
-        self.hear_peer(from, theirs);
+        let now = self.cx.now;
+        self.peers.hear(now, from, theirs, &mut self.cx.rng);
         for peer in digest.peers {
-            self.learn_peer(peer);
+            self.peers.learn(now, peer, &mut self.cx.rng);
         }
         let ours = self.config.complete_to();
         if theirs < ours {
@@ -470,62 +433,10 @@
     }
 
     fn config_digest(&mut self) -> ConfigDigest {
-        let mut known = self.peers();
-        let mut told = self.first_readers();
-        told.retain(|address| *address != self.address);
-        known.retain(|address| !told.contains(address));
-        let some = known.choose_multiple(&mut self.cx.rng, DIGEST_PEERS);
-        told.extend(some.cloned());
-        let now = self.cx.now;
-        let peers = told.into_iter().filter_map(|address| {
-            let age_ms = now.since(self.peers.get(&address)?.heard);
-            Some(PeerAge { address, age_ms })
-        });
         ConfigDigest {
             complete_to: self.config.complete_to(),
-            peers: peers.collect(),
-        }
-    }
-
-    /// Takes in an entry that another has heard of, and when. The view of peers is bounded, and
-    /// random, so that what one entry knows reaches all through the views of the others.
-    fn learn_peer(&mut self, told: PeerAge) {
-        let now = self.cx.now;
-        if told.address == self.address || told.age_ms >= PEER_FORGET_MS {
-            return;
-        }
-        let heard = now - told.age_ms;
-        if let Some(peer) = self.peers.get_mut(&told.address) {
-            peer.heard = peer.heard.max(heard);
-            return;
+            peers: self.peers.some(self.cx.now, &mut self.cx.rng),
         }
-        self.make_room_for_peer();
-        let peer = PeerEntry {
-            heard,
-            config_revision: 0,
-        };
-        self.peers.insert(told.address, peer);
-    }
-
-    /// Drops a peer of a full view, but none that reads the platform.
-    fn make_room_for_peer(&mut self) {
-        if self.peers.len() < PEER_VIEW {
-            return;
-        }
-        let readers = self.first_readers();
-        let mut others = self.peers();
-        others.retain(|address| !readers.contains(address));
-        if let Some(victim) = others.choose(&mut self.cx.rng) {
-            self.peers.remove(victim);
-        }
-    }
-
-    /// The entries that rank first as readers of the platform, of those known.
-    fn first_readers(&self) -> Vec<String> {
-        let mut nodes = self.peers();
-        nodes.push(self.address.clone());
-        let first = rendezvous_pick("readers", &nodes, READER_COUNT);
-        first.into_iter().map(str::to_owned).collect()
     }
 
     fn apply_config(&mut self, source: &str, after: u64, complete_to: u64, items: Vec<ConfigItem>) {
@@ -567,7 +478,7 @@
         let Some(notice) = self.cx.crashes.news(self.cx.now) else {
             return;
         };
-        let notices = self.known_entries().into_iter().map(|to| {
+        let notices = self.peers.known().into_iter().map(|to| {
             let body = Body::CrashNotice(notice.clone());
             EntryOutput::Mail(MailOut { to, body })
         });
@@ -578,9 +489,8 @@
 
     fn gossip(&mut self) {
         let now = self.cx.now;
-        self.peers
-            .retain(|_, peer| now.since(peer.heard) < PEER_FORGET_MS);
-        let known = self.known_entries();
+        self.peers.forget_silent(now);
+        let known = self.peers.known();
         let chosen: Vec<String> = known
             .choose_multiple(&mut self.cx.rng, GOSSIP_PEERS)
             .cloned()
@@ -596,20 +506,9 @@
         self.choose_readers();
     }
 
-    /// The entries that may be there: those heard of, and those of the settings.
-    fn known_entries(&self) -> Vec<String> {
-        let mut known = self.peers();
-        for seed in &self.seeds {
-            if *seed != self.address && !known.contains(seed) {
-                known.push(seed.clone());
-            }
-        }
-        known
-    }
-
     /// A few entries read the platform, found by each from the peers it has heard.
     fn choose_readers(&mut self) {
-        let reader = self.first_readers().contains(&self.address);
+        let reader = self.peers.is_reader();
         if reader != self.reader {
             self.reader = reader;
             self.cx.outputs.push(EntryOutput::Reader(reader));
--- a/src/process.rs
+++ b/src/process.rs
@@ -12,6 +12,7 @@
 use spdlog::sink::StdStreamSink;
 use spdlog::{LevelFilter, Logger};
 
+use crate::clock::ClockTime;
 use crate::event::EventRing;
 use crate::mail::{LamportClock, MailIdentity};
 use crate::metric::MetricSet;
@@ -20,6 +21,10 @@
 
 /// Exit code after a stop that cut requests short.
 pub const EXIT_CUT: i32 = 3;
+/// Time for the last messages and bytes to leave, milliseconds.
+pub const FLUSH_MS: u64 = 300;
+/// Time after the start of a planned stop in which others learn of it, milliseconds.
+const LINGER_MS: u64 = 1_000;
 
 /// The parts of a process that its threads share: its identity, its time line and its metrics.
 #[derive(Clone, Debug)]
@@ -54,6 +59,58 @@
     }
 }
 
+/// A planned stop: begun by a signal, ended by idleness, its bound, or a second signal.
+#[derive(Clone, Copy, Debug)]
+pub struct DrainWatch {
+    limit_ms: u64,
+    began: Option<ClockTime>,
+    signals: u32,
+}
+
+impl DrainWatch {
+    /// No stop yet; one may take `limit_ms` milliseconds.
+    pub fn new(limit_ms: u64) -> DrainWatch {
+        DrainWatch {
+            limit_ms,
+            began: None,
+            signals: 0,
+        }
+    }
+
+    /// A signal to stop came.
+    pub fn signal(&mut self, now: ClockTime) {
+        self.began.get_or_insert(now);
+        self.signals += 1;
+    }
+
+    /// The exit code, once the process should end; what is cut is logged.
+    pub fn code(&self, now: ClockTime, idle: bool, in_flight: usize) -> Option<i32> {
+        let taken = now.since(self.began?);
+        if idle && taken >= LINGER_MS {
+            spdlog::info!("event=stopped code=0");
+            return Some(0);
+        }
+        if taken >= self.limit_ms || self.signals > 1 {
+            spdlog::error!("event=stop_cut requests={in_flight}");
+            return Some(EXIT_CUT);
+        }
+        None
+    }
+}
+
+/// Starts the thread of a duty.
+///
+/// # Errors
+///
+/// When the system has no thread to give.
+pub fn spawn(name: &str, duty: impl FnOnce() + Send + 'static) -> eyre::Result<()> {
+    thread::Builder::new()
+        .name(name.into())
+        .spawn(duty)
+        .map_err(|error| eyre!("could not start the {name} thread: {error}"))?;
+    Ok(())
+}
+
 /// Sends logs to standard error, one key=value line per event.
 ///
 /// # Errors
@@ -83,15 +140,11 @@
 /// When the signals cannot be taken over.
 pub fn on_stop_signal(stop: impl Fn(u32) + Send + 'static) -> eyre::Result<()> {
     let mut signals = Signals::new([SIGTERM, SIGINT]).wrap_err("could not take over signals")?;
-    thread::Builder::new()
-        .name("signal".into())
-        .spawn(move || {
-            for (count, _) in (1..).zip(signals.forever()) {
-                stop(count);
-            }
-        })
-        .map_err(|error| eyre!("could not start the signal thread: {error}"))?;
-    Ok(())
+    spawn("signal", move || {
+        for (count, _) in (1..).zip(signals.forever()) {
+            stop(count);
+        }
+    })
 }
 
 /// Adds the routes that every process has: liveness, metrics and its time line.
--- a/standins/src/bin/bench.rs
+++ b/standins/src/bin/bench.rs
@@ -8,9 +8,10 @@
 use lynxcart::wire::gen::envelope::Body;
 use lynxcart::wire::{FrameKeys, MailOut};
 use standins::direct::DirectChain;
-use standins::fleet::{free_address, Fleet, FleetProcess, FleetSetup};
+use standins::fleet::{Fleet, FleetSetup};
 use standins::heap::CountingHeap;
 use standins::load::{ask, cpu_time, load_direct, load_fleet, resident_kib, LoadPlan, LoadReport};
+use standins::process::{free_address, FleetProcess};
 use standins::slope::{
     config_slope, heartbeat, heartbeat_bytes, journal_slope, replica_slope, request_slope,
     SlopePoint,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod load;
 pub mod model;
 pub mod platform;
+pub mod process;
 pub mod server;
 pub mod service;
 pub mod slope;
