--- a/src/agent/operation.rs
+++ b/src/agent/operation.rs
@@ -64,7 +64,6 @@
     /// Requests that may not begin any more: ended or struck out.
     ended: BTreeSet<(RequestKey, u32)>,
     ended_order: VecDeque<(RequestKey, u32)>,
-    dispatched: u64,
 }
 
 impl OperationTable {
@@ -78,7 +77,6 @@
             next: 0,
             ended: BTreeSet::new(),
             ended_order: VecDeque::new(),
-            dispatched: 0,
         }
     }
 
@@ -102,11 +100,6 @@
         self.limit
     }
 
-    /// Calls handed to the service so far.
-    pub fn dispatched(&self) -> u64 {
-        self.dispatched
-    }
-
     /// The journal partitions.
     pub fn owner(&self) -> &OwnerTable {
         &self.owner
@@ -306,7 +299,6 @@
             "an operation dispatched twice"
         );
         slot.phase = OperationPhase::Running;
-        self.dispatched += 1;
         let request = slot
             .waiters
             .first()
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -194,6 +194,10 @@
         match input {
             AgentInput::Mail(MailEvent::Received(mail)) => self.mail(*mail),
             AgentInput::Mail(MailEvent::PeerLost(address)) => {
+                // An entry that only lost the connection waits for word of this agent.
+                if self.entries.contains_key(&address) {
+                    self.heartbeat_at = self.cx.now;
+                }
                 if let UpstreamTable::Stages(table) = &mut self.table {
                     table.peer_lost(&mut self.cx, &address);
                 }
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -97,11 +97,6 @@
         wakes.min().unwrap_or(ClockTime::NEVER)
     }
 
-    /// Whether a call is in flight.
-    pub fn contains(&self, key: RequestKey) -> bool {
-        self.slots.contains_key(&key)
-    }
-
     /// Begins a call, or refuses it at once.
     pub fn start(&mut self, cx: &mut EntryContext, key: RequestKey, work: CallWork) {
         let slot = CallSlot {
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -232,19 +232,17 @@
     }
 
     /// A token came from the last stage.
-    ///
-    /// Returns whether the request ended.
-    pub fn token_ready(&mut self, cx: &mut EntryContext, from: &str, message: TokenReady) -> bool {
+    pub fn token_ready(&mut self, cx: &mut EntryContext, from: &str, message: TokenReady) {
         let key = RequestKey::from(message.request.unwrap_or_default());
         let Some(slot) = self.slots.get_mut(&key) else {
             close_stage(cx, from, key, u32::MAX);
-            return false;
+            return;
         };
         let last = slot.chain.last().map(|hop| hop.address.as_str());
         let expected = u32::try_from(slot.tokens.len()).unwrap_or(u32::MAX);
         // A late token of a replaced stage, or one given already, is dropped.
         if message.attempt > slot.attempt || last != Some(from) || message.position != expected {
-            return false;
+            return;
         }
         if slot.tokens.is_empty() {
             cx.note(EventNote::new(EventKind::FirstToken, from, "").about(key));
@@ -269,9 +267,7 @@
                 },
             );
             self.remove(cx, key);
-            return true;
         }
-        false
     }
 
     /// The agent at an address is gone: repair every chain through it.
@@ -306,27 +302,19 @@
         self.remove(cx, key)
     }
 
-    /// Fires the timers that are due. Returns the requests that ended.
-    pub fn tick(&mut self, cx: &mut EntryContext) -> Vec<RequestKey> {
+    /// Fires the timers that are due.
+    pub fn tick(&mut self, cx: &mut EntryContext) {
         let due: Vec<RequestKey> = self
             .slots
             .iter()
             .filter(|(_, slot)| slot.wake() <= cx.now)
             .map(|(key, _)| *key)
             .collect();
-        for key in &due {
-            if let Some(slot) = self.slots.remove(key) {
-                self.fire(cx, *key, slot);
+        for key in due {
+            if let Some(slot) = self.slots.remove(&key) {
+                self.fire(cx, key, slot);
             }
         }
-        due.into_iter()
-            .filter(|key| !self.slots.contains_key(key))
-            .collect()
-    }
-
-    /// Whether a request is in flight.
-    pub fn contains(&self, key: RequestKey) -> bool {
-        self.slots.contains_key(&key)
     }
 
     fn fire(&mut self, cx: &mut EntryContext, key: RequestKey, mut slot: GenerateSlot) {
--- a/standins/src/bin/bench.rs
+++ b/standins/src/bin/bench.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
+use hdrhistogram::Histogram;
 use lynxcart::mail::{self, LamportClock, MailEvent, MailIdentity, MailPost};
 use lynxcart::wire::gen::envelope::Body;
 use lynxcart::wire::{FrameKeys, MailOut};
@@ -156,25 +157,28 @@
         let direct = load_direct(&chains, plan).await;
         report_lines(&format!("{callers} callers, lynxcart"), &routed);
         report_lines(&format!("{callers} callers, by hand"), &direct);
-        let ratio = |q: f64| {
-            let (routed, direct) = (&routed.between, &direct.between);
-            routed.value_at_quantile(q) as f64 / direct.value_at_quantile(q) as f64
+        let ratio = |routed: &Histogram<u64>, direct: &Histogram<u64>, quantile: f64| {
+            routed.value_at_quantile(quantile) as f64 / direct.value_at_quantile(quantile) as f64
         };
-        figure(
-            &format!("{callers} callers, between tokens p50, ratio"),
-            ratio(0.5),
-            "x",
-        );
-        figure(
-            &format!("{callers} callers, between tokens p95, ratio"),
-            ratio(0.95),
-            "x",
-        );
-        figure(
-            &format!("{callers} callers, tokens/s, ratio"),
-            routed.rate() / direct.rate(),
-            "x",
-        );
+        for quantile in [0.5, 0.95] {
+            let first = ratio(&routed.first, &direct.first, quantile);
+            let between = ratio(&routed.between, &direct.between, quantile);
+            let percent = quantile * 100.0;
+            figure(
+                &format!("{callers} callers, first token p{percent}, ratio"),
+                first,
+                "x",
+            );
+            figure(
+                &format!("{callers} callers, between tokens p{percent}, ratio"),
+                between,
+                "x",
+            );
+        }
+        let rate = routed.rate() / direct.rate();
+        figure(&format!("{callers} callers, tokens/s, ratio"), rate, "x");
+        let whole = routed.whole as f64 / direct.whole as f64;
+        figure(&format!("{callers} callers, requests/s, ratio"), whole, "x");
     }
     Ok(())
 }
--- a/standins/tests/operators.rs
+++ b/standins/tests/operators.rs
@@ -117,3 +117,83 @@
             .contains("401"));
     }
 }
+
+struct CommandCase {
+    args: &'static [&'static str],
+    token: &'static str,
+    code: i32,
+    says: &'static str,
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn commands_name_what_is_wrong() {
+    let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("commands");
+    let fleet = Fleet::start(FleetSetup::small(logs))
+        .await
+        .expect("a fleet");
+    let cases = [
+        CommandCase {
+            args: &["status"],
+            token: OPERATOR_TOKEN,
+            code: 0,
+            says: "",
+        },
+        CommandCase {
+            args: &["profile", "list"],
+            token: OPERATOR_TOKEN,
+            code: 0,
+            says: "",
+        },
+        CommandCase {
+            args: &["profile", "show", "custody"],
+            token: OPERATOR_TOKEN,
+            code: 0,
+            says: "",
+        },
+        CommandCase {
+            args: &["status"],
+            token: "nobody",
+            code: 2,
+            says: "bad_token",
+        },
+        CommandCase {
+            args: &["profile", "show", "none"],
+            token: OPERATOR_TOKEN,
+            code: 2,
+            says: "\"none\"",
+        },
+        CommandCase {
+            args: &["profile", "accept", "none"],
+            token: OPERATOR_TOKEN,
+            code: 2,
+            says: "\"none\"",
+        },
+    ];
+    let program = std::env::current_exe().expect("a path");
+    let program = program
+        .ancestors()
+        .nth(2)
+        .expect("a folder")
+        .join("lynxcart");
+    for case in cases {
+        let output = std::process::Command::new(&program)
+            .args(case.args)
+            .env("LYNXCART_ENTRY", fleet.entries[0].http.to_string())
+            .env("LYNXCART_TOKEN", case.token)
+            .output()
+            .expect("the command runs");
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(
+            output.status.code(),
+            Some(case.code),
+            "{:?}: {error}",
+            case.args
+        );
+        assert!(error.contains(case.says), "{:?}: {error}", case.args);
+        assert!(
+            error.trim().lines().count() <= 1,
+            "{:?}: {error}",
+            case.args
+        );
+    }
+}
