--- a/src/agent/journal.rs
+++ b/src/agent/journal.rs
@@ -101,10 +101,24 @@
 #[derive(Debug)]
 struct JournalSegment {
     key: String,
+    /// What is stored, until the segment is too large to be merged again.
     bytes: Vec<u8>,
+    full: bool,
     newest_ms: u64,
 }
 
+impl JournalSegment {
+    fn new(key: String, bytes: Vec<u8>, newest_ms: u64) -> JournalSegment {
+        let full = bytes.len() >= MERGE_BYTES / 2;
+        JournalSegment {
+            key,
+            bytes: if full { Vec::new() } else { bytes },
+            full,
+            newest_ms,
+        }
+    }
+}
+
 /// The journal of one partition, as its owner holds it.
 #[derive(Debug)]
 pub struct PartitionJournal {
@@ -167,11 +181,9 @@
             for record in batch.records {
                 index_record(&mut journal.index, record);
             }
-            journal.segments.push(JournalSegment {
-                key: item.key.clone(),
-                bytes: item.value.clone(),
-                newest_ms: newest_ms.unwrap_or(0),
-            });
+            let (key, bytes) = (item.key.clone(), item.value.clone());
+            let segment = JournalSegment::new(key, bytes, newest_ms.unwrap_or(0));
+            journal.segments.push(segment);
         }
         journal
     }
@@ -359,31 +371,25 @@
         Some(JournalWrite::Expire)
     }
 
-    /// Merges the longest run of small segments that fits, leaving full ones alone.
+    /// Merges the run of segments that are not full, if it is worth a write.
     fn merge(&self) -> Option<JournalWrite> {
-        let first = self
-            .segments
-            .iter()
-            .position(|segment| segment.bytes.len() < MERGE_BYTES / 2)?;
         let mut bytes = Vec::new();
         let mut count = 0;
-        for segment in &self.segments[first..] {
-            if bytes.len() + segment.bytes.len() > MERGE_BYTES {
+        for segment in &self.segments[self.merge_start()..] {
+            if segment.full || bytes.len() + segment.bytes.len() > MERGE_BYTES {
                 break;
             }
+            // Concatenated batches decode as one.
             bytes.extend_from_slice(&segment.bytes);
             count += 1;
         }
-        // Concatenated batches decode as one; merging is only worth a write for many.
-        (first + count <= self.segments.len() && count >= MERGE_BATCHES / 2)
-            .then_some(JournalWrite::Merge { count, bytes })
+        (count >= MERGE_BATCHES / 2).then_some(JournalWrite::Merge { count, bytes })
     }
 
+    /// The first segment that is not full.
     fn merge_start(&self) -> usize {
-        self.segments
-            .iter()
-            .position(|segment| segment.bytes.len() < MERGE_BYTES / 2)
-            .unwrap_or(0)
+        let first = self.segments.iter().position(|segment| !segment.full);
+        first.unwrap_or(self.segments.len())
     }
 
     fn platform_call(&self) -> Option<PlatformCall> {
@@ -446,20 +452,25 @@
     fn written(&mut self, write: JournalWrite) -> JournalNews {
         match write {
             JournalWrite::Commit(commit) => {
-                self.segments.push(JournalSegment {
-                    key: commit.key,
-                    bytes: commit.bytes,
-                    newest_ms: commit.newest_ms,
-                });
-                JournalNews::Committed(commit.operations)
+                let JournalCommit {
+                    key,
+                    bytes,
+                    newest_ms,
+                    operations,
+                    ..
+                } = commit;
+                self.segments
+                    .push(JournalSegment::new(key, bytes, newest_ms));
+                JournalNews::Committed(operations)
             }
             JournalWrite::Merge { count, bytes } => {
                 let start = self.merge_start();
-                let merged = self.segments.drain(start + 1..start + count);
-                let newest_ms = merged.map(|segment| segment.newest_ms).max().unwrap_or(0);
-                let first = &mut self.segments[start];
-                first.newest_ms = first.newest_ms.max(newest_ms);
-                first.bytes = bytes;
+                let merged: Vec<JournalSegment> =
+                    self.segments.drain(start..start + count).collect();
+                let newest_ms = merged.iter().map(|segment| segment.newest_ms).max();
+                let key = merged[0].key.clone();
+                let segment = JournalSegment::new(key, bytes, newest_ms.unwrap_or(0));
+                self.segments.insert(start, segment);
                 JournalNews::None
             }
             JournalWrite::Expire => {
