Let two drivers of fleets run at once

Cause: the demo failed while a test run was under way on the same machine: each gives out ports from the same first one, and takes a port between the other's look and its process.

Change: each driver begins at a place that depends on its process id.

Not run beside a test run again.

Conclusion: two drivers whose ids agree modulo 97 can still meet.

--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -89,8 +89,8 @@
 /// First port given out: below the range from which systems take ports for connections, so that
 /// no connection takes one before its process listens.
 const FIRST_PORT: u16 = 20_000;
-/// One past the last port given out.
-const END_PORT: u16 = 32_000;
+/// Ports given out at most.
+const PORTS: u16 = 12_000;
 
 /// A loopback address that nobody listens on, given out once.
 ///
@@ -98,10 +98,13 @@
 ///
 /// When there is none left.
 pub fn free_address() -> eyre::Result<SocketAddr> {
-    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    static GIVEN: AtomicU16 = AtomicU16::new(0);
+    // Fleets of two drivers at once begin at different places.
+    let offset = u16::try_from(std::process::id() % 97).unwrap_or(0) * (PORTS / 97);
     loop {
-        let port = NEXT.fetch_add(1, Ordering::Relaxed);
-        ensure!(port < END_PORT, "no port is left");
+        let given = GIVEN.fetch_add(1, Ordering::Relaxed);
+        ensure!(given < PORTS, "no port is left");
+        let port = FIRST_PORT + (offset + given) % PORTS;
         if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
             return Ok(listener.local_addr()?);
         }
