--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -66,7 +66,7 @@
 
     /// Writes until nothing is left to write; some answers are lost, before or after the write.
     fn settle(&mut self, journal: &mut PartitionJournal) {
-        while !(journal.wake() == ClockTime::NEVER) {
+        while journal.wake() != ClockTime::NEVER {
             self.cx.now = self.cx.now + 1_000;
             if journal.write_next(&mut self.cx).is_none() {
                 return;
