Take the choice of seeds from one place

Cause: the same five lines stood in two test files. Ruled out: merging the two drivers of steps in tests/world, which differ in what they pause. Conclusion: no check changed; seeds and counts are the same.

--- a/tests/once.rs
+++ b/tests/once.rs
@@ -13,7 +13,7 @@
 use lynxcart::wire::RequestKey;
 use rand::Rng;
 
-use world::{World, WorldFaults, TOKEN};
+use world::{seeds, World, WorldFaults, TOKEN};
 
 const KEYS: u32 = 30;
 const TRIES: u32 = 5;
@@ -160,12 +160,6 @@
     }
 }
 
-fn seeds(default: u64) -> std::ops::Range<u64> {
-    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
-    let first = number("LYNXCART_SEED").unwrap_or(1);
-    first..first + number("LYNXCART_SEEDS").unwrap_or(default)
-}
-
 #[test]
 fn at_most_once_in_random_runs() {
     let (mut answered, mut ran) = (0, 0);
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -14,7 +14,7 @@
 use lynxcart::clock::ClockTime;
 use lynxcart::entry::crash::{CrashFingerprint, CrashTable, CRASH_LIMIT};
 use lynxcart::verdict::RefusalReason;
-use world::{expected_tokens, World, WorldFaults, CRASH_TEXT, MODEL, TOKEN};
+use world::{expected_tokens, seeds, World, WorldFaults, CRASH_TEXT, MODEL, TOKEN};
 
 const LAYERS: u32 = 12;
 const TOKENS: u32 = 20;
@@ -150,12 +150,6 @@
     (whole, u32::try_from(next).expect("a small number"))
 }
 
-fn seeds(default: u64) -> std::ops::Range<u64> {
-    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
-    let first = number("LYNXCART_SEED").unwrap_or(1);
-    first..first + number("LYNXCART_SEEDS").unwrap_or(default)
-}
-
 #[test]
 fn layers_run_once_in_random_runs() {
     let (mut whole, mut asked) = (0, 0);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -148,6 +148,13 @@
     texts
 }
 
+/// The seeds to run: `LYNXCART_SEEDS` of them from `LYNXCART_SEED` on, else the first `default`.
+pub fn seeds(default: u64) -> std::ops::Range<u64> {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
+    let first = number("LYNXCART_SEED").unwrap_or(1);
+    first..first + number("LYNXCART_SEEDS").unwrap_or(default)
+}
+
 impl World {
     pub fn new(seed: u64, faults: WorldFaults) -> World {
         World {
