Serve the users' platform with gateways that speak to replicas directly

Change: 'lynxcart gateway' serves callers on entry VMs without agents. Decisions are state machines in src/gateway (routes, upstreams, chains, plan, placing duty, tries, budget, proof of freshness, cutting of event streams); src/platform holds the platform's names, formats and calls. The store's trait moved to src/store with its etcd form. Logs of processes go to standard output.

--- a/src/agent/journal.rs
+++ b/src/agent/journal.rs
@@ -11,7 +11,7 @@
 
 use crate::agent::AgentContext;
 use crate::clock::ClockTime;
-use crate::platform::{
+use crate::store::{
     PlatformAnswer, PlatformCall, PlatformCompare, PlatformItem, PlatformResult, PlatformWrite,
 };
 use crate::wire::gen::{JournalBatch, JournalRecord, JournalStep};
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::clock::ClockTime;
 use crate::event::EventNote;
-use crate::platform::PlatformCall;
+use crate::store::PlatformCall;
 use crate::wire::gen::envelope::Body;
 use crate::wire::{MailOut, RequestKey};
 
--- a/src/agent/operation.rs
+++ b/src/agent/operation.rs
@@ -14,7 +14,7 @@
 use crate::agent::{AgentContext, AgentOutput, ServiceDispatch, ServiceOutcome};
 use crate::clock::ClockTime;
 use crate::event::{EventKind, EventNote};
-use crate::platform::PlatformResult;
+use crate::store::PlatformResult;
 use crate::util::{key_hash, key_partition};
 use crate::verdict::RunVerdict;
 use crate::wire::gen::envelope::Body;
--- a/src/agent/owner.rs
+++ b/src/agent/owner.rs
@@ -12,7 +12,7 @@
 use crate::agent::AgentContext;
 use crate::clock::ClockTime;
 use crate::event::{EventKind, EventNote};
-use crate::platform::{
+use crate::store::{
     prefix_end, PlatformAnswer, PlatformCall, PlatformCompare, PlatformItem, PlatformResult,
     PlatformWrite,
 };
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -22,9 +22,9 @@
 use crate::event::{wall_millis, EventKind, EventNote};
 use crate::fetch;
 use crate::mail::{self, MailEvent, MailPost};
-use crate::platform::etcd::EtcdStore;
-use crate::platform::{PlatformCall, PlatformStore};
 use crate::process::{common_routes, on_stop_signal, spawn, DrainWatch, ProcessParts, FLUSH_MS};
+use crate::store::etcd::EtcdStore;
+use crate::store::{PlatformCall, PlatformStore};
 use crate::web::{answer, serve, WebRoute};
 
 /// Inputs that may wait for the deciding thread.
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -10,7 +10,7 @@
 use crate::event::{EventKind, EventNote};
 use crate::mail::MailEvent;
 use crate::member::{HEARTBEAT_MOST_MS, HEARTBEAT_MS};
-use crate::platform::PlatformResult;
+use crate::store::PlatformResult;
 use crate::util::rendezvous_pick;
 use crate::wire::gen::envelope::Body;
 use crate::wire::gen::{heartbeat::Role, Heartbeat, ModelRole, ServiceRole};
--- a/src/agent/upstream.rs
+++ b/src/agent/upstream.rs
@@ -19,7 +19,7 @@
     ServiceOutcome,
 };
 use crate::fetch::{self, HttpClient};
-use crate::platform::etcd::{decode, encode};
+use crate::store::etcd::{decode, encode};
 use crate::wire::gen::ModelRole;
 use crate::wire::RequestKey;
 
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -51,3 +51,24 @@
         ClockTime(u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX))
     }
 }
+
+/// Reads the machine's clock since its start, which goes on while a VM is suspended.
+#[derive(Clone, Copy, Debug)]
+pub struct BootClock;
+
+impl BootClock {
+    /// Time since the machine started.
+    pub fn now(&self) -> ClockTime {
+        let mut time = libc::timespec {
+            tv_sec: 0,
+            tv_nsec: 0,
+        };
+        // SAFETY: `time` is a valid place for the result, and the clock exists on all Linux
+        // systems that the program is built for.
+        let result = unsafe { libc::clock_gettime(libc::CLOCK_BOOTTIME, &mut time) };
+        assert_eq!(result, 0, "the boot clock cannot be read");
+        let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+        let nanos = u64::try_from(time.tv_nsec).unwrap_or(0);
+        ClockTime(seconds * 1_000 + nanos / 1_000_000)
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod client;
 mod entry;
+mod gateway;
 mod profile;
 mod status;
 mod timeline;
@@ -13,6 +14,7 @@
 pub use agent::AgentArgs;
 pub use check::CheckArgs;
 pub use entry::EntryArgs;
+pub use gateway::GatewayArgs;
 pub use profile::ProfileArgs;
 pub use status::StatusArgs;
 pub use timeline::TimelineArgs;
@@ -34,6 +36,7 @@
 enum MainCommand {
     Entry(EntryArgs),
     Agent(AgentArgs),
+    Gateway(GatewayArgs),
     Profile(ProfileArgs),
     Status(StatusArgs),
     Timeline(TimelineArgs),
@@ -80,6 +83,7 @@
         match self.command {
             MainCommand::Entry(args) => args.run(),
             MainCommand::Agent(args) => args.run(),
+            MainCommand::Gateway(args) => args.run(),
             MainCommand::Profile(args) => args.run(),
             MainCommand::Status(args) => args.run(),
             MainCommand::Timeline(args) => args.run(),
--- a/src/config.rs
+++ b/src/config.rs
@@ -7,6 +7,7 @@
 use eyre::{bail, eyre};
 
 use crate::agent::owner::OwnerSetup;
+use crate::gateway::budget::BudgetRule;
 use crate::mail::MailIdentity;
 use crate::wire::FrameKeys;
 
@@ -100,6 +101,27 @@
     pub drain_limit_ms: u64,
 }
 
+/// The settings of a gateway.
+#[derive(Clone, Debug)]
+pub struct GatewayConfig {
+    /// Name of its VM.
+    pub name: String,
+    /// Where callers are served.
+    pub front_address: SocketAddr,
+    /// Where the balancer asks for readiness.
+    pub ready_address: SocketAddr,
+    /// The platform's key-value service.
+    pub platform: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Bound within which a revoked key stops working, milliseconds, if there is one.
+    pub revoke_ms: Option<u64>,
+    /// The deployment's budget of repeats.
+    pub budget: BudgetRule,
+    /// Bound of a planned stop, milliseconds.
+    pub drain_limit_ms: u64,
+}
+
 impl AgentConfig {
     /// Who the agent of a service is, towards the platform.
     pub fn owner_setup(&self, identity: &MailIdentity) -> OwnerSetup {
@@ -155,6 +177,17 @@
         "1 to 64 partitions, the same for all agents of a service",
     ),
     row("LYNXCART_JOURNAL_WRITES", "20", "1 to 1000 writes/s"),
+    row("LYNXCART_FRONT_ADDRESS", "127.0.0.1:8080", "IP:PORT"),
+    row("LYNXCART_READY_ADDRESS", "127.0.0.1:8081", "IP:PORT"),
+    row(
+        "LYNXCART_REVOKE_MS",
+        "5000",
+        "0 to 3600000 ms; 0 for no bound",
+    ),
+    row("LYNXCART_BUDGET_RATIO", "0.2", "0 to 10 repeats a request"),
+    row("LYNXCART_BUDGET_WINDOW_MS", "10000", "100 to 3600000 ms"),
+    row("LYNXCART_BUDGET_EXTRA", "50", "0 to 1000000 repeats"),
+    row("LYNXCART_ENTRY_COUNT", "8", "1 to 1000 entries"),
     row("LYNXCART_LOG", "info", "error, warn, info or debug"),
     row(
         "LYNXCART_ENTRY",
@@ -298,6 +331,51 @@
     number(flag, "LYNXCART_DRAIN_LIMIT_MS", 0, 3_600_000)
 }
 
+/// Where a gateway serves callers. Default: 127.0.0.1:8080.
+pub fn front_address(flag: Option<&String>) -> eyre::Result<SocketAddr> {
+    address(flag, "LYNXCART_FRONT_ADDRESS")
+}
+
+/// Where a gateway answers the balancer. Default: 127.0.0.1:8081.
+pub fn ready_address(flag: Option<&String>) -> eyre::Result<SocketAddr> {
+    address(flag, "LYNXCART_READY_ADDRESS")
+}
+
+/// Bound within which a revoked key stops working, milliseconds. Default: 5000.
+pub fn revoke_ms(flag: Option<&String>) -> eyre::Result<Option<u64>> {
+    let bound = number(flag, "LYNXCART_REVOKE_MS", 0, 3_600_000)?;
+    Ok((bound > 0).then_some(bound))
+}
+
+fn fraction(flag: Option<&String>, variable: &str, most: f64) -> eyre::Result<f64> {
+    let value = text(flag, variable)?;
+    match value.parse() {
+        Ok(number) if (0.0..=most).contains(&number) => Ok(number),
+        _ => Err(wrong(variable, &value)),
+    }
+}
+
+/// Repeats allowed for each request. Default: 0.2.
+pub fn budget_ratio(flag: Option<&String>) -> eyre::Result<f64> {
+    fraction(flag, "LYNXCART_BUDGET_RATIO", 10.0)
+}
+
+/// Window of the budget of repeats, milliseconds. Default: 10000.
+pub fn budget_window_ms(flag: Option<&String>) -> eyre::Result<u64> {
+    number(flag, "LYNXCART_BUDGET_WINDOW_MS", 100, 3_600_000)
+}
+
+/// Repeats allowed in a window whatever the requests. Default: 50.
+pub fn budget_extra(flag: Option<&String>) -> eyre::Result<f64> {
+    fraction(flag, "LYNXCART_BUDGET_EXTRA", 1e6)
+}
+
+/// Entries that share the budget at the most. Default: 8.
+pub fn entry_count(flag: Option<&String>) -> eyre::Result<f64> {
+    let count = number(flag, "LYNXCART_ENTRY_COUNT", 1, 1_000)?;
+    Ok(f64::from(u32::try_from(count)?))
+}
+
 /// Name of the upstream. No default.
 pub fn upstream_name(flag: Option<&String>) -> eyre::Result<String> {
     name(flag, "LYNXCART_NAME")
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -17,14 +17,14 @@
 use crate::entry::http::CallerDesk;
 use crate::entry::run::EntryQuestion;
 use crate::event::{wall_millis, EventKind, EventNote, EventRing};
-use crate::platform::etcd::EtcdStore;
-use crate::platform::{
-    prefix_end, PlatformAnswer, PlatformCall, PlatformCompare, PlatformItem, PlatformStore,
-    PlatformWrite,
-};
 use crate::profile::{
     token_hash, DraftRecord, ProfileRecord, ProfileSpec, DRAFT_PREFIX, PROFILE_PREFIX,
 };
+use crate::store::etcd::EtcdStore;
+use crate::store::{
+    prefix_end, PlatformAnswer, PlatformCall, PlatformCompare, PlatformItem, PlatformStore,
+    PlatformWrite,
+};
 use crate::verdict::{RefusalReason, RequestRefusal};
 use crate::web::{answer_json, problem, WebRequest, WebRoute};
 
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -20,10 +20,10 @@
 use crate::event::{EventKind, EventNote};
 use crate::fetch;
 use crate::mail::{self, MailEvent, MailPost};
-use crate::platform::etcd::EtcdStore;
-use crate::platform::{prefix_end, PlatformAnswer, PlatformCall, PlatformItem, PlatformStore};
 use crate::process::{on_stop_signal, spawn, DrainWatch, ProcessParts, FLUSH_MS};
 use crate::profile::CONFIG_PREFIX;
+use crate::store::etcd::EtcdStore;
+use crate::store::{prefix_end, PlatformAnswer, PlatformCall, PlatformItem, PlatformStore};
 use crate::wire::gen::ConfigItem;
 use crate::wire::RequestKey;
 
--- /dev/null
+++ b/src/gateway/chain.rs
@@ -0,0 +1,222 @@
+//! Choice of the chain of replicas that runs every layer of a model once and in order.
+
+use rand::Rng;
+
+use crate::clock::ClockTime;
+use crate::gateway::catalog::EngineRule;
+use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamRecord, UpstreamTable};
+
+/// Relative size of the random part of a cost, so that entries with one view differ.
+const COST_NOISE: f64 = 0.06;
+/// Part of a replica's KV memory beyond which it takes nothing new from here.
+const FILL_MOST: f64 = 0.97;
+/// Hops that a chain may have at the most.
+const HOPS_MOST: usize = 32;
+
+/// One replica of a chain and the layers that it runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChainHop {
+    /// The replica.
+    pub upstream: UpstreamKey,
+    /// Its layers.
+    pub layers: LayerRange,
+}
+
+/// What a request needs of a chain.
+#[derive(Clone, Copy, Debug)]
+pub struct ChainNeed<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// Its engines.
+    pub engine: &'a EngineRule,
+    /// Tokens of the prompt.
+    pub prompt: f64,
+    /// Tokens expected in the answer.
+    pub answer: f64,
+    /// Failure domain of the entry.
+    pub domain: &'a str,
+    /// Replicas to go round.
+    pub avoid: &'a [UpstreamKey],
+    /// The replica that must stay the first, on a change of path.
+    pub first: Option<ChainHop>,
+    /// How many entries there are that send as this one does.
+    pub entries: f64,
+}
+
+/// Whether hops run layers 0 to `layers` once and in order, each on a replica of its own.
+pub fn covers(chain: &[ChainHop], layers: u32) -> bool {
+    let mut next = 0;
+    for (index, hop) in chain.iter().enumerate() {
+        let twice = chain[..index]
+            .iter()
+            .any(|other| other.upstream == hop.upstream);
+        if hop.layers.from != next || hop.layers.is_empty() || twice {
+            return false;
+        }
+        next = hop.layers.to;
+    }
+    next == layers
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ChainStep {
+    upstream: UpstreamKey,
+    from: u32,
+    to: u32,
+    cost: f64,
+    before: Option<usize>,
+    hops: usize,
+}
+
+/// The chain with the least expected time for a request, or none if no chain has room.
+pub fn choose_chain(
+    table: &UpstreamTable,
+    now: ClockTime,
+    need: &ChainNeed<'_>,
+    rng: &mut impl Rng,
+) -> Option<Vec<ChainHop>> {
+    let mut holders: Vec<(UpstreamKey, &UpstreamRecord, f64)> = Vec::new();
+    for (key, record) in table.iter() {
+        let first = need.first.is_some_and(|hop| hop.upstream == key);
+        let fits = record.entry.service == need.service && !record.entry.layers.is_empty();
+        if fits && (first || (record.usable(now) && !need.avoid.contains(&key))) {
+            let noise = 1.0 + COST_NOISE * rng.random::<f64>();
+            holders.push((key, record, noise));
+        }
+    }
+    holders.sort_by_key(|(key, record, _)| (record.entry.layers, *key));
+    let mut steps: Vec<ChainStep> = Vec::new();
+    // A step ends where its replica's layers end, so that steps sorted by end are complete
+    // before any step that begins there.
+    let mut ends: Vec<u32> = holders
+        .iter()
+        .map(|(_, record, _)| record.entry.layers.to)
+        .collect();
+    ends.sort_unstable();
+    ends.dedup();
+    let mut starts = vec![0];
+    starts.extend(ends.iter().copied().filter(|end| *end < need.engine.layers));
+    for start in starts {
+        extend_from(&mut steps, &holders, table, need, start);
+    }
+    let last = (0..steps.len())
+        .filter(|index| steps[*index].to == need.engine.layers)
+        .min_by(|one, other| steps[*one].cost.total_cmp(&steps[*other].cost))?;
+    let mut chain = Vec::new();
+    let mut at = Some(last);
+    while let Some(index) = at {
+        let step = steps[index];
+        chain.push(ChainHop {
+            upstream: step.upstream,
+            layers: LayerRange {
+                from: step.from,
+                to: step.to,
+            },
+        });
+        at = step.before;
+    }
+    chain.reverse();
+    covers(&chain, need.engine.layers).then_some(chain)
+}
+
+fn extend_from(
+    steps: &mut Vec<ChainStep>,
+    holders: &[(UpstreamKey, &UpstreamRecord, f64)],
+    table: &UpstreamTable,
+    need: &ChainNeed<'_>,
+    start: u32,
+) {
+    let befores: Vec<usize> = (0..steps.len())
+        .filter(|index| steps[*index].to == start)
+        .collect();
+    if start > 0 && befores.is_empty() {
+        return;
+    }
+    for (key, record, noise) in holders {
+        let held = record.entry.layers;
+        if held.from > start || held.to <= start {
+            continue;
+        }
+        let to = match need.first {
+            Some(first) if start == 0 && first.upstream != *key => continue,
+            Some(first) if start > 0 && first.upstream == *key => continue,
+            Some(first) if start == 0 => first.layers.to,
+            _ => held.to,
+        };
+        let Some(own) = hop_cost(record, need, to - start) else {
+            continue;
+        };
+        let mut best: Option<(f64, Option<usize>, usize)> = None;
+        if start == 0 {
+            let delay = need.engine.delay_ms(need.domain, &record.entry.domain);
+            best = Some((own * noise + delay, None, 1));
+        }
+        for index in &befores {
+            let before = &steps[*index];
+            if before.hops >= HOPS_MOST || uses(steps, *index, *key) {
+                continue;
+            }
+            let last = table.get(before.upstream);
+            let cost = before.cost + own * noise + link_cost(last, record, need);
+            if best.is_none_or(|(least, _, _)| cost < least) {
+                best = Some((cost, Some(*index), before.hops + 1));
+            }
+        }
+        if let Some((cost, before, hops)) = best {
+            steps.push(ChainStep {
+                upstream: *key,
+                from: start,
+                to,
+                cost,
+                before,
+                hops,
+            });
+        }
+    }
+}
+
+fn uses(steps: &[ChainStep], mut index: usize, key: UpstreamKey) -> bool {
+    loop {
+        if steps[index].upstream == key {
+            return true;
+        }
+        match steps[index].before {
+            Some(before) => index = before,
+            None => return false,
+        }
+    }
+}
+
+/// Expected time that a request spends in one replica, milliseconds; none if it has no room.
+fn hop_cost(record: &UpstreamRecord, need: &ChainNeed<'_>, layers: u32) -> Option<f64> {
+    let engine = need.engine;
+    let kind = engine.kind(&record.entry.kind)?;
+    let share = f64::from(layers) / f64::from(engine.layers);
+    let room = engine.room(kind, record.entry.layers.len());
+    let tokens = (need.prompt + need.answer) * f64::from(layers);
+    let fill = (record.reserved * need.entries + tokens) / room.max(1.0);
+    if fill > FILL_MOST {
+        return None;
+    }
+    let running = f64::from(record.in_flight) * need.entries;
+    let context = running * (need.prompt + need.answer / 2.0) / 1_000.0;
+    let step = engine.step_ms + engine.per_request_ms * running + engine.context_ms * context;
+    let step = step * kind.step_factor * share;
+    let read = need.prompt / engine.read_per_s * 1_000.0 * kind.read_factor * share;
+    // Passes are waited for, the longer the fuller the replica is.
+    let wait = 1.0 / (1.0 - fill);
+    Some((need.answer * step + read) * wait)
+}
+
+/// Expected time that a request spends between two replicas, milliseconds.
+fn link_cost(last: &UpstreamRecord, next: &UpstreamRecord, need: &ChainNeed<'_>) -> f64 {
+    let engine = need.engine;
+    if last.entry.domain == next.entry.domain {
+        return 0.2 * need.answer;
+    }
+    let delay = engine.delay_ms(&last.entry.domain, &next.entry.domain);
+    let bits = engine.activation_bytes * 8.0;
+    // The pipe is shared by all chains that cross there.
+    let transfer = bits / (engine.pipe_mbps.max(1.0) * 1_000.0) * 4.0;
+    need.answer * (delay + transfer) + need.prompt * transfer
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,181 @@
+//! Passes a stream of events on as it comes, on the task that serves the caller, and goes on
+//! with another run where the route allows it.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::Response;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+
+use crate::gateway::attempt::{NextStep, TryFailure, TryLedger};
+use crate::gateway::event_stream::EventCutter;
+use crate::gateway::forward::{
+    log_end, look_after, next_try, CallContext, CallFlight, FailedTry, FlightHealth, GatewayBody,
+    OpenAnswer, TryEnd,
+};
+use crate::gateway::run::Gateway;
+use crate::gateway::upstream::UpstreamKey;
+use crate::platform::headers::{caller_headers, AnswerMeta};
+
+/// Silence between two events after which the first replica is asked why, milliseconds.
+const EVENT_SILENCE_MS: u64 = 350;
+
+struct EventRelay {
+    gateway: Arc<Gateway>,
+    context: CallContext,
+    ledger: TryLedger,
+    flight: CallFlight,
+    meta: AnswerMeta,
+    body: Incoming,
+    cutter: EventCutter,
+    avoid: Vec<UpstreamKey>,
+    over: bool,
+}
+
+/// The answer that passes on the stream that was opened.
+pub fn stream(
+    gateway: &Arc<Gateway>,
+    context: CallContext,
+    ledger: TryLedger,
+    opened: OpenAnswer,
+) -> Response<GatewayBody> {
+    let (head, body) = opened.response.into_parts();
+    let relay = EventRelay {
+        gateway: gateway.clone(),
+        context,
+        ledger,
+        flight: opened.flight,
+        meta: opened.meta,
+        body,
+        cutter: EventCutter::default(),
+        avoid: Vec::new(),
+        over: false,
+    };
+    let frames = stream::unfold(relay, |mut relay| async move {
+        let piece = relay.next().await?;
+        Some((piece.map(Frame::data), relay))
+    });
+    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+    *response.status_mut() = head.status;
+    *response.headers_mut() = caller_headers(&head.headers);
+    // The length of what several runs give together is not known.
+    response.headers_mut().remove(http::header::CONTENT_LENGTH);
+    response
+}
+
+impl EventRelay {
+    /// The next whole events; none at the end of the answer. An error breaks the caller's
+    /// connection, so that an answer cut short never looks whole.
+    async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
+        if self.over {
+            return None;
+        }
+        loop {
+            let left = self.context.call.ends.since(self.gateway.clock.now());
+            if left == 0 {
+                return Some(self.break_off("the time is up"));
+            }
+            let wait = Duration::from_millis(left.min(EVENT_SILENCE_MS));
+            let failure = match tokio::time::timeout(wait, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    match self.cutter.push(data) {
+                        Ok(whole) if whole.is_empty() => continue,
+                        Ok(whole) => {
+                            self.gateway.metrics.tokens.inc();
+                            return Some(Ok(whole));
+                        }
+                        Err(fault) => format!("the stream is faulty: {fault:?}"),
+                    }
+                }
+                Ok(None) if self.cutter.holds_part() => String::from("it ended inside an event"),
+                Ok(None) => {
+                    self.over = true;
+                    self.flight.keep_connection(&self.meta);
+                    let at = self.flight.target.upstream;
+                    log_end(&self.gateway, &self.context, at, 200);
+                    return None;
+                }
+                Ok(Some(Err(error))) => error.to_string(),
+                Err(_) => match look_after(&self.gateway, &self.context, &mut self.flight).await {
+                    FlightHealth::Alive => continue,
+                    health => format!("it is silent: {health:?}"),
+                },
+            };
+            if let Err(error) = self.resume(&failure).await {
+                return Some(Err(error));
+            }
+        }
+    }
+
+    fn break_off(&mut self, why: &str) -> Result<Bytes, io::Error> {
+        self.over = true;
+        spdlog::warn!(
+            "event=stream_broken_off request={} last_event={:?} why=\"{why}\"",
+            self.context.meta.id,
+            self.cutter.last()
+        );
+        let result = "stream_broken_off";
+        self.gateway
+            .metrics
+            .requests
+            .with_label_values(&[result])
+            .inc();
+        Err(io::Error::other(why.to_owned()))
+    }
+
+    /// Goes on with another run after the last event that was passed on.
+    async fn resume(&mut self, why: &str) -> Result<(), io::Error> {
+        let mut failed = FailedTry {
+            failure: TryFailure::Lost,
+            at: self.flight.target.upstream,
+        };
+        loop {
+            let now = self.gateway.clock.now();
+            spdlog::info!(
+                "event=stream_lost request={} upstream={} last_event={:?} why=\"{why}\"",
+                self.context.meta.id,
+                self.flight.target.id,
+                self.cutter.last()
+            );
+            if let NextStep::GiveUp(_) = self.ledger.fail(now, failed.failure) {
+                return self.break_off(why).map(drop);
+            }
+            self.avoid.push(failed.at);
+            let last = self.cutter.last().or(self.context.meta.last_event);
+            let opened = next_try(
+                &self.gateway,
+                &self.context,
+                &mut self.ledger,
+                &self.avoid,
+                last,
+            )
+            .await;
+            match opened {
+                Ok(opened) if opened.response.status().is_success() => {
+                    self.flight = opened.flight;
+                    self.meta = opened.meta;
+                    self.body = opened.response.into_body();
+                    self.cutter.restart();
+                    return Ok(());
+                }
+                Ok(opened) => {
+                    failed = FailedTry {
+                        failure: TryFailure::Failed,
+                        at: opened.flight.target.upstream,
+                    }
+                }
+                Err(TryEnd::Failed(next)) => failed = next,
+                Err(TryEnd::Refused(refusal)) => {
+                    return self.break_off(&refusal.detail).map(drop);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/upstream.rs
@@ -0,0 +1,246 @@
+//! The upstreams that registered themselves: who lives, who leaves, who is suspect, and what this
+//! entry has in flight at each.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use crate::clock::ClockTime;
+
+/// How long an upstream that failed is passed over, milliseconds; doubled at each failure in a
+/// row up to [`SUSPECT_MOST_MS`].
+const SUSPECT_MS: u64 = 1_000;
+/// Longest time for which a failed upstream is passed over, milliseconds.
+const SUSPECT_MOST_MS: u64 = 4_000;
+/// Time for which a vanished entry is kept when the store was away just before, milliseconds:
+/// entries of living upstreams are back within two seconds.
+const LAPSE_GRACE_MS: u64 = 2_500;
+
+/// Layers that a replica holds: `from` up to but not including `to`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct LayerRange {
+    /// First layer.
+    pub from: u32,
+    /// The layer after the last.
+    pub to: u32,
+}
+
+impl LayerRange {
+    /// Number of layers.
+    pub fn len(self) -> u32 {
+        self.to.saturating_sub(self.from)
+    }
+
+    /// Whether it has no layer.
+    pub fn is_empty(self) -> bool {
+        self.len() == 0
+    }
+}
+
+impl std::fmt::Display for LayerRange {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}-{}", self.from, self.to)
+    }
+}
+
+/// What an upstream says of itself in the registry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamEntry {
+    /// Its name.
+    pub id: String,
+    /// Start of its incarnation, Unix milliseconds; zero when unknown.
+    pub born: u64,
+    /// The service it belongs to.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// Kind of its accelerator; empty for a plain service.
+    pub kind: String,
+    /// Layers that it holds.
+    pub layers: LayerRange,
+    /// Store revision of this word.
+    pub revision: u64,
+}
+
+/// Number of an upstream's incarnation in the [`UpstreamTable`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct UpstreamKey(pub u32);
+
+/// One incarnation of an upstream.
+#[derive(Clone, Debug)]
+pub struct UpstreamRecord {
+    /// Its own word.
+    pub entry: UpstreamEntry,
+    /// When it left the registry.
+    pub gone: bool,
+    /// When a vanished entry counts as gone.
+    gone_at: Option<ClockTime>,
+    /// Passed over until then.
+    suspect_until: ClockTime,
+    /// Failures in a row.
+    failures: u32,
+    /// Requests of this entry in flight there.
+    pub in_flight: u32,
+    /// Tokens times layers that these are expected to need.
+    pub reserved: f64,
+}
+
+impl UpstreamRecord {
+    /// Whether new work may go there.
+    pub fn usable(&self, now: ClockTime) -> bool {
+        !self.gone && !self.entry.draining && self.gone_at.is_none() && now >= self.suspect_until
+    }
+
+    /// Whether it is alive as far as the registry knows, whatever this entry suspects.
+    pub fn listed(&self) -> bool {
+        !self.gone && !self.entry.draining
+    }
+}
+
+/// All incarnations of upstreams that this process has heard of.
+#[derive(Debug, Default)]
+pub struct UpstreamTable {
+    records: Vec<UpstreamRecord>,
+    ids: HashMap<String, UpstreamKey>,
+    version: u64,
+}
+
+impl UpstreamTable {
+    /// Grows with each change of who holds what or may be used.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The record of a key.
+    pub fn get(&self, key: UpstreamKey) -> &UpstreamRecord {
+        &self.records[key.0 as usize]
+    }
+
+    /// All incarnations that are not gone.
+    pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &UpstreamRecord)> {
+        let numbered = (0..).map(UpstreamKey).zip(&self.records);
+        numbered.filter(|(_, record)| !record.gone)
+    }
+
+    /// The living upstream at an address.
+    pub fn at(&self, address: SocketAddr) -> Option<UpstreamKey> {
+        let mut found = self.iter();
+        found
+            .find(|(_, record)| record.entry.address == address)
+            .map(|(key, _)| key)
+    }
+
+    /// Takes an upstream's word. Returns whether something changed that others build on.
+    pub fn hear(&mut self, now: ClockTime, entry: UpstreamEntry) -> bool {
+        if let Some(key) = self.ids.get(&entry.id).copied() {
+            let record = &mut self.records[key.0 as usize];
+            if entry.revision < record.entry.revision {
+                return false;
+            }
+            if record.entry.born == entry.born && !record.gone {
+                let changed = record.gone_at.take().is_some()
+                    || record.entry.draining != entry.draining
+                    || record.entry.layers != entry.layers
+                    || record.entry.address != entry.address;
+                // A leaving upstream does not come back in the same incarnation.
+                let draining = record.entry.draining || entry.draining;
+                record.entry = UpstreamEntry { draining, ..entry };
+                self.version += u64::from(changed);
+                return changed;
+            }
+            record.gone = true;
+        }
+        let key = UpstreamKey(u32::try_from(self.records.len()).unwrap_or(u32::MAX));
+        self.ids.insert(entry.id.clone(), key);
+        self.records.push(UpstreamRecord {
+            entry,
+            gone: false,
+            gone_at: None,
+            suspect_until: now,
+            failures: 0,
+            in_flight: 0,
+            reserved: 0.0,
+        });
+        self.version += 1;
+        true
+    }
+
+    /// The entry of `id` was removed at `revision`. When the store was away just before, the
+    /// upstream is kept for a while, since entries lapse then whose upstreams live.
+    pub fn removed(&mut self, now: ClockTime, id: &str, revision: u64, store_was_away: bool) {
+        let Some(key) = self.ids.get(id).copied() else {
+            return;
+        };
+        let record = &mut self.records[key.0 as usize];
+        if revision <= record.entry.revision || record.gone || record.gone_at.is_some() {
+            return;
+        }
+        let wait = if store_was_away { LAPSE_GRACE_MS } else { 0 };
+        record.gone_at = Some(now + wait);
+        self.version += 1;
+        self.settle(now);
+    }
+
+    /// Ends what has been missing long enough.
+    pub fn settle(&mut self, now: ClockTime) {
+        for record in &mut self.records {
+            if record.gone_at.is_some_and(|at| now >= at) && !record.gone {
+                record.gone = true;
+                self.version += 1;
+            }
+        }
+    }
+
+    /// The ids that are known and not gone, for comparison with a whole read of the registry.
+    pub fn ids(&self) -> Vec<(String, u64)> {
+        let living = self.iter();
+        living
+            .map(|(_, record)| (record.entry.id.clone(), record.entry.revision))
+            .collect()
+    }
+
+    /// Work failed there in a way that speaks against the upstream.
+    pub fn suspect(&mut self, now: ClockTime, key: UpstreamKey) {
+        let record = &mut self.records[key.0 as usize];
+        if now >= record.suspect_until {
+            let wait = SUSPECT_MS << record.failures.min(4);
+            record.suspect_until = now + wait.min(SUSPECT_MOST_MS);
+            record.failures += 1;
+            self.version += 1;
+        }
+    }
+
+    /// Work went well there.
+    pub fn praise(&mut self, key: UpstreamKey) {
+        self.records[key.0 as usize].failures = 0;
+    }
+
+    /// The upstream at this address is another one, or leaving by its own word.
+    pub fn misplaced(&mut self, key: UpstreamKey) {
+        let record = &mut self.records[key.0 as usize];
+        if !record.entry.draining {
+            record.entry.draining = true;
+            self.version += 1;
+        }
+    }
+
+    /// A request goes there.
+    pub fn begin(&mut self, key: UpstreamKey, reserved: f64) {
+        let record = &mut self.records[key.0 as usize];
+        record.in_flight += 1;
+        record.reserved += reserved;
+    }
+
+    /// A request ended there.
+    pub fn end(&mut self, key: UpstreamKey, reserved: f64) {
+        let record = &mut self.records[key.0 as usize];
+        assert!(record.in_flight > 0, "a request ended that never began");
+        record.in_flight -= 1;
+        record.reserved = (record.reserved - reserved).max(0.0);
+    }
+}
--- /dev/null
+++ b/src/platform/registry.rs
@@ -0,0 +1,70 @@
+//! Entries of the registry: what upstreams write of themselves into the platform's store.
+
+use std::net::SocketAddr;
+
+use eyre::{bail, eyre, WrapErr};
+use serde::Deserialize;
+
+use crate::gateway::upstream::{LayerRange, UpstreamEntry};
+use crate::platform::REGISTRY_PREFIX;
+use crate::store::PlatformItem;
+
+#[derive(Deserialize)]
+struct RawEntry {
+    service: String,
+    address: SocketAddr,
+    zone: String,
+    slots: u32,
+    state: String,
+    #[serde(default)]
+    born: u64,
+    #[serde(default)]
+    kind: String,
+    layers: Option<RawLayers>,
+}
+
+#[derive(Deserialize)]
+struct RawLayers {
+    from: u32,
+    to: u32,
+}
+
+/// The id in a key of the registry.
+pub fn entry_id(key: &str) -> Option<&str> {
+    key.strip_prefix(REGISTRY_PREFIX)
+        .filter(|id| !id.is_empty())
+}
+
+/// Reads one entry.
+///
+/// # Errors
+///
+/// When it names no upstream that can be used: fields are missing, of another type, or say what
+/// is not known here.
+pub fn decode_entry(item: &PlatformItem) -> eyre::Result<UpstreamEntry> {
+    let id = entry_id(&item.key).ok_or_else(|| eyre!("the key has no id"))?;
+    let raw: RawEntry = serde_json::from_slice(&item.value).wrap_err("could not read the entry")?;
+    let draining = match raw.state.as_str() {
+        "ready" => false,
+        "draining" => true,
+        other => bail!("the state \"{other}\" is unknown"),
+    };
+    let layers = raw
+        .layers
+        .map_or(LayerRange::default(), |layers| LayerRange {
+            from: layers.from,
+            to: layers.to,
+        });
+    Ok(UpstreamEntry {
+        id: id.to_owned(),
+        born: raw.born,
+        service: raw.service,
+        address: raw.address,
+        domain: raw.zone,
+        slots: raw.slots,
+        draining,
+        kind: raw.kind,
+        layers,
+        revision: item.mod_revision,
+    })
+}
--- a/src/process.rs
+++ b/src/process.rs
@@ -111,7 +111,7 @@
     Ok(())
 }
 
-/// Sends logs to standard error, one key=value line per event.
+/// Sends logs to standard output, one key=value line per event.
 ///
 /// # Errors
 ///
@@ -119,7 +119,7 @@
 pub fn init_logs(level: LevelFilter) -> eyre::Result<()> {
     let line = pattern!("time={date}T{time}.{millisecond} level={level} {payload}{eol}");
     let sink = StdStreamSink::builder()
-        .stderr()
+        .stdout()
         .formatter(PatternFormatter::new(line))
         .build_arc()
         .wrap_err("could not open the log")?;
--- a/src/platform/etcd.rs
+++ b/src/store/etcd.rs
@@ -9,7 +9,7 @@
 use serde_json::{json, Value};
 
 use crate::fetch::{post_json, post_stream, HttpClient};
-use crate::platform::{
+use crate::store::{
     PlatformAnswer, PlatformCall, PlatformCompare, PlatformError, PlatformFuture, PlatformItem,
     PlatformResult, PlatformStore, PlatformWrite,
 };
--- a/standins/src/direct.rs
+++ b/standins/src/direct.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Full};
 use lynxcart::agent::upstream::{EngineBatch, EnginePass, EngineResult, EngineResultOutput};
 use lynxcart::fetch::{self, HttpClient};
-use lynxcart::platform::etcd::encode;
+use lynxcart::store::etcd::encode;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 
 use crate::load::LoadReport;
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -16,7 +16,7 @@
     EngineBatch, EngineInfo, EnginePass, EngineResult, EngineResultOutput, EngineResultToken,
     EngineStream,
 };
-use lynxcart::platform::etcd::{decode, encode};
+use lynxcart::store::etcd::{decode, encode};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::sync::Notify;
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -10,8 +10,8 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use lynxcart::fetch::{self, HttpClient};
-use lynxcart::platform::etcd::encode;
 use lynxcart::profile::{token_hash, TeamRecord, TEAM_PREFIX};
+use lynxcart::store::etcd::encode;
 use serde_json::{json, Value};
 
 use crate::process::{free_address, start_lynxcart, start_process, FleetProcess};
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -8,8 +8,8 @@
 
 use http::{Method, Request};
 use hyper::body::Incoming;
-use lynxcart::platform::etcd::{decode, EtcdItem};
-use lynxcart::platform::PlatformItem;
+use lynxcart::store::etcd::{decode, EtcdItem};
+use lynxcart::store::PlatformItem;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
--- a/standins/src/slope.rs
+++ b/standins/src/slope.rs
@@ -10,10 +10,10 @@
 use lynxcart::entry::state::{EntryInput, EntrySetup, EntryState};
 use lynxcart::entry::{CallerRequest, CallerWork};
 use lynxcart::mail::MailEvent;
-use lynxcart::platform::PlatformAnswer;
 use lynxcart::profile::{
     token_hash, ProfileRecord, ProfileSpec, ProfileTarget, TeamRecord, PROFILE_PREFIX, TEAM_PREFIX,
 };
+use lynxcart::store::PlatformAnswer;
 use lynxcart::util::key_hash;
 use lynxcart::wire::gen::envelope::Body;
 use lynxcart::wire::gen::{heartbeat::Role, ConfigItem, Envelope, Heartbeat, ModelRole};
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -10,7 +10,7 @@
 use lynxcart::agent::AgentContext;
 use lynxcart::agent::AgentOutput;
 use lynxcart::clock::ClockTime;
-use lynxcart::platform::{
+use lynxcart::store::{
     prefix_end, PlatformAnswer, PlatformCall, PlatformError, PlatformItem, PlatformWrite,
 };
 use lynxcart::util::key_hash;
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -8,7 +8,7 @@
 use lynxcart::agent::{AgentOutput, ServiceOutcome};
 use lynxcart::clock::ClockTime;
 use lynxcart::mail::MailEvent;
-use lynxcart::platform::{PlatformCall, PlatformError};
+use lynxcart::store::{PlatformCall, PlatformError};
 use lynxcart::wire::gen::envelope::Body;
 use lynxcart::wire::gen::{OperationCall, OperationStrike, RefusalCode, RequestId, WireVerdict};
 use lynxcart::wire::MailIn;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -18,10 +18,10 @@
 use lynxcart::entry::state::{EntryInput, EntrySetup, EntryState};
 use lynxcart::entry::{AnswerEvent, CallerRequest, EntryOutput};
 use lynxcart::mail::MailEvent;
-use lynxcart::platform::{PlatformCall, PlatformError};
 use lynxcart::profile::{
     token_hash, ProfileRecord, ProfileSpec, TeamRecord, PROFILE_PREFIX, TEAM_PREFIX,
 };
+use lynxcart::store::{PlatformCall, PlatformError};
 use lynxcart::wire::gen::{ConfigItem, ModelRole};
 use lynxcart::wire::{MailIn, MailOut, RequestKey};
 use rand::{Rng, SeedableRng};
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -5,9 +5,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use lynxcart::clock::ClockTime;
-use lynxcart::platform::{
-    PlatformAnswer, PlatformCall, PlatformCompare, PlatformItem, PlatformWrite,
-};
+use lynxcart::store::{PlatformAnswer, PlatformCall, PlatformCompare, PlatformItem, PlatformWrite};
 
 #[derive(Default)]
 pub struct FakeStore {
