Choose chains on one view of all gateways' load, and within a failure domain

Cause: each gateway guessed the others' load from its own.

Change: gateways find each other in the store and tell each other their load four times a second in sealed datagrams. A crossing costs what others wait for the pipe. A silent request looks after 100 ms whether a replica of its chain is in doubt, asks the first replica then, and is led round by repath also on replicas that seem full; a replica that refuses the new path is gone round in turn.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -18,6 +18,9 @@
     /// where the balancer asks for readiness, IP:PORT (LYNXCART_READY_ADDRESS)
     #[argh(option)]
     ready_address: Option<String>,
+    /// where other gateways send messages, IP:PORT (LYNXCART_MAIL_ADDRESS)
+    #[argh(option)]
+    mail_address: Option<String>,
     /// the platform's key-value service, IP:PORT (LYNXCART_PLATFORM)
     #[argh(option)]
     platform: Option<String>,
@@ -53,6 +56,8 @@
             name: config::upstream_name(self.name.as_ref())?,
             front_address: config::front_address(self.front_address.as_ref())?,
             ready_address: config::ready_address(self.ready_address.as_ref())?,
+            peer_address: config::mail_address(self.mail_address.as_ref())?,
+            keys: config::keys()?,
             platform: config::platform(self.platform.as_ref())?,
             failure_domain: config::failure_domain(self.failure_domain.as_ref())?,
             revoke_ms: config::revoke_ms(self.revoke_ms.as_ref())?,
--- a/src/config.rs
+++ b/src/config.rs
@@ -110,6 +110,10 @@
     pub front_address: SocketAddr,
     /// Where the balancer asks for readiness.
     pub ready_address: SocketAddr,
+    /// Where other gateways send messages.
+    pub peer_address: SocketAddr,
+    /// Keys that authenticate these.
+    pub keys: FrameKeys,
     /// The platform's key-value service.
     pub platform: SocketAddr,
     /// Failure domain.
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -372,7 +372,9 @@
             | Body::StagePass(_)
             | Body::StageClose(_)
             | Body::OperationCall(_)
-            | Body::OperationStrike(_) => {}
+            | Body::OperationStrike(_)
+            // Addressed to gateways.
+            | Body::GatewayLoad(_) => {}
         }
     }
 
--- a/src/gateway/chain.rs
+++ b/src/gateway/chain.rs
@@ -4,12 +4,16 @@
 
 use crate::clock::ClockTime;
 use crate::gateway::catalog::EngineRule;
+use crate::gateway::peer::PeerTable;
 use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamRecord, UpstreamTable};
 
 /// Relative size of the random part of a cost, so that entries with one view differ.
 const COST_NOISE: f64 = 0.06;
 /// Part of a replica's KV memory beyond which it takes nothing new from here.
 const FILL_MOST: f64 = 0.97;
+/// Factor on the time that a request holds a pipe between failure domains: what others wait for
+/// it.
+const PIPE_FACTOR: f64 = 24.0;
 /// Hops that a chain may have at the most.
 const HOPS_MOST: usize = 32;
 
@@ -39,8 +43,12 @@
     pub avoid: &'a [UpstreamKey],
     /// The replica that must stay the first, on a change of path.
     pub first: Option<ChainHop>,
-    /// How many entries there are that send as this one does.
-    pub entries: f64,
+    /// Replicas that hold the request's tokens already.
+    pub held: &'a [UpstreamKey],
+    /// Whether a chain must be found even on replicas that seem full.
+    pub must: bool,
+    /// What other gateways have in flight.
+    pub peers: &'a PeerTable,
 }
 
 /// Whether hops run layers 0 to `layers` once and in order, each on a replica of its own.
@@ -143,7 +151,7 @@
             Some(first) if start == 0 => first.layers.to,
             _ => held.to,
         };
-        let Some(own) = hop_cost(record, need, to - start) else {
+        let Some(own) = hop_cost(*key, record, need, to - start) else {
             continue;
         };
         let mut best: Option<(f64, Option<usize>, usize)> = None;
@@ -188,17 +196,29 @@
 }
 
 /// Expected time that a request spends in one replica, milliseconds; none if it has no room.
-fn hop_cost(record: &UpstreamRecord, need: &ChainNeed<'_>, layers: u32) -> Option<f64> {
+fn hop_cost(
+    key: UpstreamKey,
+    record: &UpstreamRecord,
+    need: &ChainNeed<'_>,
+    layers: u32,
+) -> Option<f64> {
     let engine = need.engine;
     let kind = engine.kind(&record.entry.kind)?;
     let share = f64::from(layers) / f64::from(engine.layers);
     let room = engine.room(kind, record.entry.layers.len());
-    let tokens = (need.prompt + need.answer) * f64::from(layers);
-    let fill = (record.reserved * need.entries + tokens) / room.max(1.0);
+    let others = need.peers.others(key);
+    let tokens = match need.held.contains(&key) {
+        true => 0.0,
+        false => (need.prompt + need.answer) * f64::from(layers),
+    };
+    let mut fill = (record.reserved + others.reserved + tokens) / room.max(1.0);
     if fill > FILL_MOST {
-        return None;
+        if !need.must {
+            return None;
+        }
+        fill = FILL_MOST;
     }
-    let running = f64::from(record.in_flight) * need.entries;
+    let running = f64::from(record.in_flight) + others.in_flight;
     let context = running * (need.prompt + need.answer / 2.0) / 1_000.0;
     let step = engine.step_ms + engine.per_request_ms * running + engine.context_ms * context;
     let step = step * kind.step_factor * share;
@@ -216,7 +236,8 @@
     }
     let delay = engine.delay_ms(&last.entry.domain, &next.entry.domain);
     let bits = engine.activation_bytes * 8.0;
-    // The pipe is shared by all chains that cross there.
-    let transfer = bits / (engine.pipe_mbps.max(1.0) * 1_000.0) * 4.0;
-    need.answer * (delay + transfer) + need.prompt * transfer
+    let transfer = bits / (engine.pipe_mbps.max(1.0) * 1_000.0);
+    // The pipe is shared by all chains that cross there, one transfer after another.
+    let shared = (need.prompt + need.answer) * transfer * PIPE_FACTOR;
+    need.answer * delay + shared
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -5,7 +5,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,14 +21,16 @@
 use crate::gateway::catalog::WorkKind;
 use crate::gateway::pool::{connect, UpstreamConnection};
 use crate::gateway::relay;
-use crate::gateway::run::Gateway;
+use crate::gateway::run::{Gateway, StalledReport};
 use crate::gateway::state::{AdmittedCall, CallHead, SendTarget};
 use crate::gateway::upstream::UpstreamKey;
 use crate::platform::headers::{
     answer_meta, caller_headers, put_identity, request_meta, upstream_request, AnswerMeta, PassOn,
     RequestMeta,
 };
-use crate::platform::order::{decode_stalled, fault_address, repath_request, report_request};
+use crate::platform::order::{
+    decode_stalled, fault_address, repath_request, report_request, StalledRequest,
+};
 use crate::verdict::{RefusalReason, RequestRefusal, RunVerdict};
 use crate::web::problem_json;
 
@@ -37,12 +39,18 @@
 /// Idle time after which non-idempotent work is not given to a kept connection, milliseconds: the
 /// upstream may be closing it.
 const KEPT_ONCE_MS: u64 = 500;
+/// Silence after which a request looks whether a replica of its chain is in doubt, milliseconds.
+pub const QUIET_MS: u64 = 100;
 /// Silence before the first event after which the first replica is asked why, milliseconds.
-const HEAD_SILENCE_MS: u64 = 600;
+const HEAD_SILENCE_MS: u64 = 400;
+/// Age up to which a replica's report is used again, milliseconds.
+const REPORT_MS: u64 = 50;
 /// Time that a question to a replica may take, milliseconds.
 const ASK_MS: u64 = 250;
 /// Time that an order to change a chain may take, milliseconds.
 const REPATH_MS: u64 = 400;
+/// Chains that a running request is led over before it is given up.
+const REPATHS_MOST: u32 = 4;
 /// Time for which a request waits for room in a chain, as a part of its aim.
 const WAIT_PART: f64 = 0.5;
 /// Time between two looks for room, milliseconds.
@@ -397,12 +405,12 @@
         let named = meta.at.and_then(|address| state.upstreams.at(address));
         let now = gateway.clock.now();
         match named {
-            Some(key) => state.upstreams.suspect(now, key),
+            Some(key) => state.upstreams.shun(now, key),
             None if status == StatusCode::MISDIRECTED_REQUEST && flight.target.chain.is_empty() => {
                 state.upstreams.misplaced(at);
             }
             None if status == StatusCode::MISDIRECTED_REQUEST => state.upstreams.suspect(now, at),
-            None => {}
+            None => state.upstreams.shun(now, at),
         }
         drop(state);
         spdlog::info!(
@@ -468,22 +476,19 @@
     exchange: impl std::future::Future<Output = T>,
 ) -> Option<T> {
     let mut exchange = std::pin::pin!(exchange);
+    let mut silent_ms = 0;
     loop {
         let left = context.call.ends.since(gateway.clock.now());
         let layered = !flight.target.chain.is_empty();
-        let wait = if layered {
-            left.min(HEAD_SILENCE_MS)
-        } else {
-            left
-        };
+        let wait = if layered { left.min(QUIET_MS) } else { left };
         match tokio::time::timeout(Duration::from_millis(wait), exchange.as_mut()).await {
             Ok(answer) => return Some(answer),
             Err(_) if !layered || left <= wait => return None,
-            Err(_) => {
-                if look_after(gateway, context, flight).await == FlightHealth::Dead {
-                    return None;
-                }
-            }
+            Err(_) => silent_ms += wait,
+        }
+        let asks = silent_ms % HEAD_SILENCE_MS < QUIET_MS;
+        if look_after(gateway, context, flight, asks).await == FlightHealth::Dead {
+            return None;
         }
     }
 }
@@ -499,16 +504,25 @@
     Stuck,
 }
 
-/// Asks the first replica why a request is silent, and leads it round a replica that is at
-/// fault.
+/// Looks after a silent request: when a replica of its chain is in doubt, or `asks` says that it
+/// is time, the first replica is asked which requests stand still, and the request is led round
+/// what is at fault.
 pub async fn look_after(
     gateway: &Arc<Gateway>,
     context: &CallContext,
     flight: &mut CallFlight,
+    asks: bool,
 ) -> FlightHealth {
-    let asked = ask(gateway, report_request(flight.target.address), ASK_MS).await;
-    let Some((200, body)) = asked else {
-        let now = gateway.clock.now();
+    let now = gateway.clock.now();
+    let doubtful = {
+        let state = gateway.state();
+        let mut rest = flight.target.chain.iter().skip(1);
+        rest.any(|hop| state.upstreams.get(hop.upstream).doubtful(now))
+    };
+    if !asks && !doubtful {
+        return FlightHealth::Alive;
+    }
+    let Some(stalled) = stalled_requests(gateway, &flight.target).await else {
         gateway
             .state()
             .upstreams
@@ -520,41 +534,118 @@
         );
         return FlightHealth::Dead;
     };
-    let stalled = match decode_stalled(&body) {
-        Ok(stalled) => stalled,
-        Err(error) => {
-            spdlog::warn!(
-                "event=report_unread upstream={} error=\"{error:#}\"",
-                flight.target.id
-            );
-            Vec::new()
-        }
-    };
+    let now = gateway.clock.now();
     let mine = stalled.iter().find(|stalled| stalled.id == context.meta.id);
     let fault = mine.and_then(|stalled| stalled.address);
-    let now = gateway.clock.now();
-    let chosen = {
+    let avoid = {
         let mut state = gateway.state();
-        let named = fault.and_then(|address| state.upstreams.at(address));
-        if let Some(key) = named {
-            state.upstreams.suspect(now, key);
+        for address in stalled.iter().filter_map(|stalled| stalled.address) {
+            if let Some(key) = state.upstreams.at(address) {
+                if !state.upstreams.get(key).suspected(now) {
+                    let id = &state.upstreams.get(key).entry.id;
+                    spdlog::warn!(
+                        "event=upstream_suspect id={id} told_by={}",
+                        flight.target.id
+                    );
+                    state.upstreams.name_dead(now, key);
+                    gateway.news.notify_one();
+                }
+            }
         }
-        let hops = flight.target.chain.iter().map(|hop| hop.upstream);
-        let mut avoid: Vec<UpstreamKey> = hops
-            .filter(|key| *key != flight.target.upstream)
-            .filter(|key| !state.upstreams.get(*key).usable(now))
+        let rest = flight.target.chain.iter().skip(1).map(|hop| hop.upstream);
+        let avoid: Vec<UpstreamKey> = rest
+            .filter(|key| {
+                let record = state.upstreams.get(*key);
+                record.suspected(now) || record.gone
+            })
             .collect();
-        avoid.extend(named);
         if avoid.is_empty() {
             return FlightHealth::Alive;
         }
-        let first = flight.target.chain[0];
-        state.choose(now, &context.call, &avoid, Some(first))
+        avoid
     };
-    let Ok(target) = chosen else {
-        return FlightHealth::Stuck;
+    lead_round(gateway, context, flight, avoid, fault).await
+}
+
+/// Leads a running request over a chain without the replicas in `avoid`.
+async fn lead_round(
+    gateway: &Arc<Gateway>,
+    context: &CallContext,
+    flight: &mut CallFlight,
+    mut avoid: Vec<UpstreamKey>,
+    fault: Option<SocketAddr>,
+) -> FlightHealth {
+    for _ in 0..REPATHS_MOST {
+        let now = gateway.clock.now();
+        let chosen = gateway
+            .state()
+            .choose(now, &context.call, &avoid, Some(&flight.target));
+        let Ok(target) = chosen else {
+            return FlightHealth::Stuck;
+        };
+        match repath(gateway, context, flight, target, fault).await {
+            RepathEnd::Led => return FlightHealth::Alive,
+            RepathEnd::Refused(Some(key)) => avoid.push(key),
+            RepathEnd::Refused(None) => return FlightHealth::Stuck,
+        }
+    }
+    FlightHealth::Stuck
+}
+
+/// How an order to change a chain ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RepathEnd {
+    /// The request runs over the new chain.
+    Led,
+    /// It does not; the replica at fault, if one was named.
+    Refused(Option<UpstreamKey>),
+}
+
+/// The requests that the first replica of a chain says stand still; a report that is fresh
+/// enough is used again.
+async fn stalled_requests(
+    gateway: &Gateway,
+    target: &SendTarget,
+) -> Option<Arc<Vec<StalledRequest>>> {
+    let asked = gateway.clock.now();
+    let kept = {
+        let reports = gateway
+            .reports
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        reports.get(&target.upstream).cloned()
     };
-    repath(gateway, context, flight, target, fault).await
+    if let Some(report) = kept.filter(|report| asked.since(report.asked) < REPORT_MS) {
+        return Some(report.stalled);
+    }
+    let (status, body) = ask(gateway, report_request(target.address), ASK_MS).await?;
+    if status != 200 {
+        spdlog::warn!(
+            "event=report_refused upstream={} status={status}",
+            target.id
+        );
+        return None;
+    }
+    let stalled = match decode_stalled(&body) {
+        Ok(stalled) => Arc::new(stalled),
+        Err(error) => {
+            spdlog::warn!(
+                "event=report_unread upstream={} error=\"{error:#}\"",
+                target.id
+            );
+            Arc::default()
+        }
+    };
+    let report = StalledReport {
+        asked,
+        stalled: stalled.clone(),
+    };
+    let mut reports = gateway
+        .reports
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    reports.insert(target.upstream, report);
+    Some(stalled)
 }
 
 async fn repath(
@@ -563,7 +654,7 @@
     flight: &mut CallFlight,
     target: SendTarget,
     fault: Option<SocketAddr>,
-) -> FlightHealth {
+) -> RepathEnd {
     let order = repath_request(target.address, &target.id, &context.meta.id, &target.path);
     let answered = ask(gateway, order, REPATH_MS).await;
     let status = answered.as_ref().map(|(status, _)| *status);
@@ -577,19 +668,16 @@
         Some((200 | 202, _)) => {
             let old = std::mem::replace(&mut flight.target, target);
             state.release(&old);
-            FlightHealth::Alive
+            RepathEnd::Led
         }
-        Some((_, body)) => {
-            let named = fault_address(&body).and_then(|address| state.upstreams.at(address));
+        other => {
+            let address = other.and_then(|(_, body)| fault_address(&body));
+            let named = address.and_then(|address| state.upstreams.at(address));
             if let Some(key) = named {
-                state.upstreams.suspect(gateway.clock.now(), key);
+                state.upstreams.shun(gateway.clock.now(), key);
             }
             state.release(&target);
-            FlightHealth::Stuck
-        }
-        None => {
-            state.release(&target);
-            FlightHealth::Stuck
+            RepathEnd::Refused(named)
         }
     }
 }
--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -5,6 +5,9 @@
 /// Time that a request needs at most from the check to its upstream, milliseconds.
 const PASS_ON_MS: u64 = 400;
 
+/// Part of the bound after which callers are led elsewhere.
+const FRESH_PART: u64 = 2;
+
 /// Until when requests with a key may be served.
 #[derive(Clone, Copy, Debug)]
 pub struct ConfigProof {
@@ -32,6 +35,13 @@
         self.proved.map(|proved| now.since(proved))
     }
 
+    /// Whether new callers may be sent to this VM: they should not come to one that will have
+    /// to refuse them soon.
+    pub fn is_fresh(&self, now: ClockTime) -> bool {
+        let limit = self.bound_ms.map_or(u64::MAX, |bound| bound / FRESH_PART);
+        self.age(now).is_some_and(|age| age < limit)
+    }
+
     /// Whether a request with a key may be sent on.
     pub fn holds(&self, now: ClockTime) -> bool {
         match (self.bound_ms, self.proved) {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -61,7 +61,7 @@
         let gateway = gateway.clone();
         async move {
             let mut response = forward::handle(&gateway, request).await;
-            if gateway.stopping() {
+            if gateway.leads_away() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
--- /dev/null
+++ b/src/gateway/gossip.rs
@@ -0,0 +1,108 @@
+//! Sends this gateway's load to its peers in sealed datagrams, and takes theirs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use tokio::net::UdpSocket;
+
+use crate::gateway::peer::LOAD_MS;
+use crate::gateway::run::Gateway;
+use crate::wire::gen::envelope::Body;
+use crate::wire::gen::Envelope;
+use crate::wire::WIRE_VERSION;
+
+/// Largest datagram taken, bytes.
+const DATAGRAM_LIMIT: usize = 8 * 1024;
+
+/// Starts to send and take loads.
+///
+/// # Errors
+///
+/// When the address cannot be bound.
+pub async fn start(gateway: Arc<Gateway>) -> eyre::Result<()> {
+    let address = gateway.config.peer_address;
+    let socket = UdpSocket::bind(address)
+        .await
+        .wrap_err_with(|| format!("could not bind {address}"))?;
+    let socket = Arc::new(socket);
+    let incarnation = rand::random();
+    tokio::spawn(take(gateway.clone(), socket.clone()));
+    tokio::spawn(async move {
+        let mut tick = tokio::time::interval(Duration::from_millis(LOAD_MS));
+        loop {
+            tokio::select! {
+                _ = tick.tick() => {}
+                () = gateway.news.notified() => {}
+            }
+            send(&gateway, &socket, incarnation).await;
+        }
+    });
+    Ok(())
+}
+
+async fn send(gateway: &Gateway, socket: &UdpSocket, incarnation: u64) {
+    let now = gateway.clock.now();
+    let (messages, peers) = {
+        let state = &mut *gateway.state();
+        state.peers.sum(now);
+        (
+            state.peers.tell(now, &state.upstreams),
+            state.peer_addresses.clone(),
+        )
+    };
+    for message in messages {
+        let frame = gateway.config.keys.seal(&Envelope {
+            version: WIRE_VERSION,
+            sender: gateway.config.peer_address.to_string(),
+            incarnation,
+            lamport: 0,
+            body: Some(Body::GatewayLoad(message)),
+        });
+        for peer in &peers {
+            if let Err(error) = socket.send_to(&frame, peer).await {
+                spdlog::debug!("event=load_unsent peer={peer} error=\"{error}\"");
+            }
+        }
+        gateway.metrics.mail_sent.inc_by(peers.len() as u64);
+    }
+}
+
+async fn take(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_LIMIT];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => take_frame(&gateway, &buffer[..length], from),
+            Err(error) => {
+                spdlog::debug!("event=load_unheard error=\"{error}\"");
+                tokio::time::sleep(Duration::from_millis(LOAD_MS)).await;
+            }
+        }
+    }
+}
+
+fn take_frame(gateway: &Gateway, frame: &[u8], from: SocketAddr) {
+    let envelope = match gateway.config.keys.open(frame) {
+        Ok(envelope) => envelope,
+        Err(error) => {
+            spdlog::warn!("event=load_dropped peer={from} error={error}");
+            return;
+        }
+    };
+    let Some(Body::GatewayLoad(load)) = envelope.body else {
+        spdlog::warn!("event=load_dropped peer={from} error=unexpected_message");
+        return;
+    };
+    let now = gateway.clock.now();
+    let state = &mut *gateway.state();
+    for (key, left_ms) in state
+        .peers
+        .hear(now, &envelope.sender, &load, &state.upstreams)
+    {
+        if state.upstreams.hear_suspect(now, key, left_ms) {
+            let id = &state.upstreams.get(key).entry.id;
+            spdlog::info!("event=upstream_suspect id={id} told_by={from} left_ms={left_ms}");
+        }
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,8 @@
 pub mod forward;
 pub mod freshness;
 pub mod front;
+pub mod gossip;
+pub mod peer;
 pub mod plan;
 pub mod pool;
 pub mod relay;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,14 +15,14 @@
 use crate::gateway::event_stream::EventCutter;
 use crate::gateway::forward::{
     log_end, look_after, next_try, CallContext, CallFlight, FailedTry, FlightHealth, GatewayBody,
-    OpenAnswer, TryEnd,
+    OpenAnswer, TryEnd, QUIET_MS,
 };
 use crate::gateway::run::Gateway;
 use crate::gateway::upstream::UpstreamKey;
 use crate::platform::headers::{caller_headers, AnswerMeta};
 
 /// Silence between two events after which the first replica is asked why, milliseconds.
-const EVENT_SILENCE_MS: u64 = 350;
+const EVENT_SILENCE_MS: u64 = 300;
 
 struct EventRelay {
     gateway: Arc<Gateway>,
@@ -34,6 +34,7 @@
     cutter: EventCutter,
     avoid: Vec<UpstreamKey>,
     over: bool,
+    silent_ms: u64,
 }
 
 /// The answer that passes on the stream that was opened.
@@ -54,6 +55,7 @@
         cutter: EventCutter::default(),
         avoid: Vec::new(),
         over: false,
+        silent_ms: 0,
     };
     let frames = stream::unfold(relay, |mut relay| async move {
         let piece = relay.next().await?;
@@ -79,9 +81,11 @@
             if left == 0 {
                 return Some(self.break_off("the time is up"));
             }
-            let wait = Duration::from_millis(left.min(EVENT_SILENCE_MS));
-            let failure = match tokio::time::timeout(wait, self.body.frame()).await {
+            let wait = left.min(QUIET_MS);
+            let frame = self.body.frame();
+            let failure = match tokio::time::timeout(Duration::from_millis(wait), frame).await {
                 Ok(Some(Ok(frame))) => {
+                    self.silent_ms = 0;
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
@@ -103,10 +107,15 @@
                     return None;
                 }
                 Ok(Some(Err(error))) => error.to_string(),
-                Err(_) => match look_after(&self.gateway, &self.context, &mut self.flight).await {
-                    FlightHealth::Alive => continue,
-                    health => format!("it is silent: {health:?}"),
-                },
+                Err(_) => {
+                    self.silent_ms += wait;
+                    let asks = self.silent_ms % EVENT_SILENCE_MS < QUIET_MS;
+                    let flight = &mut self.flight;
+                    match look_after(&self.gateway, &self.context, flight, asks).await {
+                        FlightHealth::Alive => continue,
+                        health => format!("it is silent: {health:?}"),
+                    }
+                }
             };
             if let Err(error) = self.resume(&failure).await {
                 return Some(Err(error));
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,6 +1,7 @@
 //! Drives the gateway: one thread with one event loop serves callers, upstreams and the store,
 //! so that an event of a stream is passed on by the task that read it.
 
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -10,16 +11,18 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tokio::runtime::Builder;
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 
-use crate::clock::BootClock;
+use crate::clock::{BootClock, ClockTime};
 use crate::config::GatewayConfig;
 use crate::fetch::{self, HttpClient};
 use crate::gateway::pool::ConnectionPool;
 use crate::gateway::state::{GatewaySetup, GatewayState};
-use crate::gateway::{front, sync};
+use crate::gateway::upstream::UpstreamKey;
+use crate::gateway::{front, gossip, sync};
 use crate::metric::MetricSet;
 use crate::platform::kv::KvStore;
+use crate::platform::order::StalledRequest;
 use crate::platform::READY_PATH;
 use crate::process::{spawn, EXIT_CUT};
 use crate::web::{self, answer, WebRoute};
@@ -42,6 +45,15 @@
     Closing,
 }
 
+/// What a replica said of requests that do not get on.
+#[derive(Clone, Debug)]
+pub struct StalledReport {
+    /// When it was asked.
+    pub asked: ClockTime,
+    /// Those requests.
+    pub stalled: Arc<Vec<StalledRequest>>,
+}
+
 /// What the tasks of a gateway share.
 #[derive(Debug)]
 pub struct Gateway {
@@ -54,6 +66,10 @@
     pub client: HttpClient,
     /// Its metrics.
     pub metrics: MetricSet,
+    /// Wakes the task that tells peers, when there is news for them.
+    pub news: Notify,
+    /// What replicas said of requests that do not get on, and when.
+    pub reports: Mutex<HashMap<UpstreamKey, StalledReport>>,
     /// How far a planned stop has come.
     pub stop: watch::Sender<StopPhase>,
     /// Its settings.
@@ -66,9 +82,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether a planned stop has begun.
-    pub fn stopping(&self) -> bool {
-        *self.stop.borrow() != StopPhase::Serving
+    /// Whether callers are better served elsewhere: their connections end with the answer.
+    pub fn leads_away(&self) -> bool {
+        let stopping = *self.stop.borrow() != StopPhase::Serving;
+        stopping || !self.state().proof.is_fresh(self.clock.now())
     }
 }
 
@@ -99,6 +116,8 @@
         pool: ConnectionPool::default(),
         client: fetch::client(),
         metrics: MetricSet::new()?,
+        news: Notify::new(),
+        reports: Mutex::default(),
         stop,
         config,
     });
@@ -111,6 +130,7 @@
     );
     front::listen(gateway.clone(), gateway.config.front_address).await?;
     serve_ready(&gateway);
+    gossip::start(gateway.clone()).await?;
     let duty = sync::start(gateway.clone(), store);
     let _ = signalled.wait_for(|count| *count > 0).await;
     spdlog::info!(
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,11 +12,13 @@
 use crate::gateway::catalog::{split_target, RouteMiss, RouteTable, ServingConfig, WorkKind};
 use crate::gateway::chain::{choose_chain, ChainHop, ChainNeed};
 use crate::gateway::freshness::ConfigProof;
+use crate::gateway::peer::PeerTable;
 use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamTable};
 use crate::verdict::{RefusalReason, RequestRefusal};
 
-/// When to come back after a refusal because nothing is known yet, milliseconds.
-const UNREADY_RETRY_MS: u64 = 700;
+/// When to come back after a refusal because this VM knows too little, milliseconds: the caller
+/// reaches another one then.
+const UNREADY_RETRY_MS: u64 = 100;
 /// When to come back after a refusal for want of room, milliseconds.
 const BUSY_RETRY_MS: u64 = 500;
 /// Relative weight of a random part in the choice of a plain service's replica.
@@ -110,6 +112,10 @@
     pub upstreams: UpstreamTable,
     /// Proof that the configuration is the newest.
     pub proof: ConfigProof,
+    /// What other gateways have in flight.
+    pub peers: PeerTable,
+    /// Where other gateways take messages.
+    pub peer_addresses: Vec<SocketAddr>,
     /// Whether a planned stop has begun.
     pub draining: bool,
     setup: GatewaySetup,
@@ -123,6 +129,8 @@
         GatewayState {
             routes: RouteTable::default(),
             upstreams: UpstreamTable::default(),
+            peers: PeerTable::default(),
+            peer_addresses: Vec::new(),
             proof: ConfigProof::new(setup.revoke_ms),
             draining: false,
             budgets: HashMap::new(),
@@ -138,7 +146,7 @@
 
     /// Whether this VM can serve now.
     pub fn ready(&self, now: ClockTime) -> bool {
-        if self.draining || self.routes.config().version == 0 || !self.proof.holds(now) {
+        if self.draining || self.routes.config().version == 0 || !self.proof.is_fresh(now) {
             return false;
         }
         let mut services = self.routes.config().services.iter();
@@ -238,7 +246,8 @@
         budget.or_insert_with(|| RetryBudget::new(rule)).spend(now)
     }
 
-    /// Chooses where a request goes, round `avoid`.
+    /// Chooses where a request goes, round `avoid`. A request that is running keeps its first
+    /// replica.
     ///
     /// # Errors
     ///
@@ -248,7 +257,7 @@
         now: ClockTime,
         call: &AdmittedCall,
         avoid: &[UpstreamKey],
-        first: Option<ChainHop>,
+        running: Option<&SendTarget>,
     ) -> Result<SendTarget, RequestRefusal> {
         let engine = self
             .routes
@@ -257,6 +266,8 @@
         let Some(engine) = engine else {
             return self.choose_plain(now, call, avoid);
         };
+        let chain = running.map_or(&[][..], |target| &target.chain);
+        let held: Vec<UpstreamKey> = chain.iter().map(|hop| hop.upstream).collect();
         let need = ChainNeed {
             service: &call.service,
             engine,
@@ -264,8 +275,10 @@
             answer: call.answer,
             domain: &self.setup.domain,
             avoid,
-            first,
-            entries: self.setup.budget.entries / 2.0,
+            first: chain.first().copied(),
+            held: &held,
+            must: running.is_some(),
+            peers: &self.peers,
         };
         let chain = choose_chain(&self.upstreams, now, &need, &mut self.rng).ok_or_else(|| {
             let detail = "no chain of replicas over all layers has room";
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -9,6 +9,8 @@
 /// How long an upstream that failed is passed over, milliseconds; doubled at each failure in a
 /// row up to [`SUSPECT_MOST_MS`].
 const SUSPECT_MS: u64 = 1_000;
+/// Time for which a replica that refused for want of room gets nothing new, milliseconds.
+const SHUN_MS: u64 = 250;
 /// Longest time for which a failed upstream is passed over, milliseconds.
 const SUSPECT_MOST_MS: u64 = 4_000;
 /// Time for which a vanished entry is kept when the store was away just before, milliseconds:
@@ -82,6 +84,10 @@
     gone_at: Option<ClockTime>,
     /// Passed over until then.
     suspect_until: ClockTime,
+    /// Gets nothing new until then: it had no room, or may be about to be found dead.
+    shun_until: ClockTime,
+    /// Until when other gateways are told to pass it over, since an engine named it as dead.
+    named_until: ClockTime,
     /// Failures in a row.
     failures: u32,
     /// Requests of this entry in flight there.
@@ -93,12 +99,27 @@
 impl UpstreamRecord {
     /// Whether new work may go there.
     pub fn usable(&self, now: ClockTime) -> bool {
-        !self.gone && !self.entry.draining && self.gone_at.is_none() && now >= self.suspect_until
+        self.listed() && !self.suspected(now) && now >= self.shun_until
+    }
+
+    /// Whether work failed there of late in a way that speaks against it.
+    pub fn suspected(&self, now: ClockTime) -> bool {
+        now < self.suspect_until
+    }
+
+    /// How much longer other gateways are told to pass it over, milliseconds.
+    pub fn named_left(&self, now: ClockTime) -> u64 {
+        self.named_until.since(now)
+    }
+
+    /// Whether a request that is silent may be waiting for it.
+    pub fn doubtful(&self, now: ClockTime) -> bool {
+        !self.listed() || self.suspected(now) || now < self.shun_until
     }
 
     /// Whether it is alive as far as the registry knows, whatever this entry suspects.
     pub fn listed(&self) -> bool {
-        !self.gone && !self.entry.draining
+        !self.gone && !self.entry.draining && self.gone_at.is_none()
     }
 }
 
@@ -162,6 +183,8 @@
             gone: false,
             gone_at: None,
             suspect_until: now,
+            shun_until: now,
+            named_until: now,
             failures: 0,
             in_flight: 0,
             reserved: 0.0,
@@ -215,6 +238,28 @@
         }
     }
 
+    /// An engine named the replica as dead or cut off.
+    pub fn name_dead(&mut self, now: ClockTime, key: UpstreamKey) {
+        self.suspect(now, key);
+        let record = &mut self.records[key.0 as usize];
+        record.named_until = record.suspect_until;
+    }
+
+    /// Another gateway was told so by an engine. Returns whether that is news.
+    pub fn hear_suspect(&mut self, now: ClockTime, key: UpstreamKey, left_ms: u64) -> bool {
+        let record = &mut self.records[key.0 as usize];
+        let news = now >= record.suspect_until;
+        record.suspect_until = record.suspect_until.max(now + left_ms.min(SUSPECT_MS));
+        self.version += u64::from(news);
+        news
+    }
+
+    /// A replica of a chain refused: it had no room, or it is about to be found dead.
+    pub fn shun(&mut self, now: ClockTime, key: UpstreamKey) {
+        let record = &mut self.records[key.0 as usize];
+        record.shun_until = record.shun_until.max(now + SHUN_MS);
+    }
+
     /// Work went well there.
     pub fn praise(&mut self, key: UpstreamKey) {
         self.records[key.0 as usize].failures = 0;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -15,5 +15,7 @@
 pub const REGISTRY_PREFIX: &str = "servers/";
 /// Key of the placing duty; ours.
 pub const DUTY_KEY: &str = "lynxcart/duty/placing";
+/// Prefix of the keys under which gateways find each other; ours.
+pub const GATEWAY_PREFIX: &str = "lynxcart/gateways/";
 /// Key of the kept plan; ours.
 pub const PLAN_KEY: &str = "lynxcart/plan";
--- a/src/wire/gen.rs
+++ b/src/wire/gen.rs
@@ -15,7 +15,7 @@
     pub lamport: u64,
     #[prost(
         oneof = "envelope::Body",
-        tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 30, 31, 32, 33"
+        tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 30, 31, 32, 33, 40"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -53,6 +53,8 @@
         OperationStrike(super::OperationStrike),
         #[prost(message, tag = "33")]
         OperationStruck(super::OperationStruck),
+        #[prost(message, tag = "40")]
+        GatewayLoad(super::GatewayLoad),
     }
 }
 /// Identity of one caller's request.
@@ -436,6 +438,29 @@
     #[prost(uint64, tag = "3")]
     pub incarnation: u64,
 }
+/// What a gateway has in flight at upstreams, and which it passes over.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct GatewayLoad {
+    #[prost(message, repeated, tag = "1")]
+    pub loads: ::prost::alloc::vec::Vec<UpstreamLoad>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct UpstreamLoad {
+    /// Where the upstream listens, "ip:port".
+    #[prost(string, tag = "1")]
+    pub address: ::prost::alloc::string::String,
+    /// Start of its incarnation, Unix milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    #[prost(uint32, tag = "3")]
+    pub in_flight: u32,
+    /// Tokens times layers that the requests in flight are expected to need.
+    #[prost(uint64, tag = "4")]
+    pub reserved: u64,
+    /// How much longer it is passed over because work failed there, milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub suspect_ms: u32,
+}
 /// Whether a request ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
