Go round dead replicas at once, mend the plan from spares, and spare the pipes

The holder of the placing duty did not hear that engines had named the card as dead, waited for its entry to lapse (3 s), then lost the store. New cards were given slots of other domains. A new holder never learnt the count of orders of a replica that another had ordered (409 for ever).

Change: a replica that an engine names as dead counts so for all gateways and for the placing duty until a heartbeat or its removal; cards that only stand in take over ranges that nobody in their domain holds; an empty card without a slot in its domain is kept for its predecessor's. Gateways count crossings of each pipe and refuse what would fill it; a request whose detour would cross more makes a new run instead, where it may. The budget of repeats counts in sliding windows. On 409 the replica's report is asked.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -39,7 +39,7 @@
     /// repeats allowed in a window whatever the requests (LYNXCART_BUDGET_EXTRA)
     #[argh(option)]
     budget_extra: Option<String>,
-    /// entries that share the budget at the most (LYNXCART_ENTRY_COUNT)
+    /// gateways that share the budget at the least (LYNXCART_ENTRY_COUNT)
     #[argh(option)]
     entry_count: Option<String>,
     /// bound of a planned stop, milliseconds (LYNXCART_DRAIN_LIMIT_MS)
--- a/src/config.rs
+++ b/src/config.rs
@@ -191,7 +191,7 @@
     row("LYNXCART_BUDGET_RATIO", "0.2", "0 to 10 repeats a request"),
     row("LYNXCART_BUDGET_WINDOW_MS", "10000", "100 to 3600000 ms"),
     row("LYNXCART_BUDGET_EXTRA", "50", "0 to 1000000 repeats"),
-    row("LYNXCART_ENTRY_COUNT", "8", "1 to 1000 entries"),
+    row("LYNXCART_ENTRY_COUNT", "4", "1 to 1000 gateways"),
     row("LYNXCART_LOG", "info", "error, warn, info or debug"),
     row(
         "LYNXCART_ENTRY",
@@ -374,7 +374,7 @@
     fraction(flag, "LYNXCART_BUDGET_EXTRA", 1e6)
 }
 
-/// Entries that share the budget at the most. Default: 8.
+/// Gateways that share the budget at the least. Default: 4.
 pub fn entry_count(flag: Option<&String>) -> eyre::Result<f64> {
     let count = number(flag, "LYNXCART_ENTRY_COUNT", 1, 1_000)?;
     Ok(f64::from(u32::try_from(count)?))
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Whether another upstream may be tried while a try is under way and silent.
+    pub fn may_repeat(&self, now: ClockTime) -> bool {
+        self.repeatable && self.sent < self.max_attempts && self.ends.since(now) > LEAST_LEFT_MS
+    }
+
     /// Whether the next send would be a repeat, which draws on the budget.
     pub fn is_repeat(&self) -> bool {
         self.sent > 0
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -1,6 +1,10 @@
-//! The budget of repeats: a share of the requests and a small allowance, kept by each entry for
-//! itself, so that all entries together stay within the installation's budget without asking
-//! each other.
+//! The budget of repeats: a share of the requests and a small allowance, kept by each gateway for
+//! itself, so that all together stay within the deployment's budget without asking each other.
+//!
+//! Invariant: in each window that ends at a repeat, this gateway sent no more repeats than
+//! `ratio` times the requests that came to it in that window, and its share of the allowance.
+
+use std::collections::VecDeque;
 
 use crate::clock::ClockTime;
 
@@ -11,56 +15,81 @@
     pub ratio: f64,
     /// Length of the window, milliseconds.
     pub window_ms: u64,
-    /// Repeats allowed in each window whatever the requests, over all entries.
+    /// Repeats allowed in each window whatever the requests, over all gateways.
     pub extra: f64,
-    /// Entries that there may be.
+    /// Gateways that there are at least.
     pub entries: f64,
 }
 
-/// Part of the ratio that is spent: windows slide, and requests are counted where they began.
-const RATIO_PART: f64 = 0.7;
-/// Part of an entry's equal share of the allowance that is spent.
-const EXTRA_PART: f64 = 0.8;
+/// Part of the budget that is spent: restarted gateways forget what they spent, and clocks differ.
+const SPENT_PART: f64 = 0.8;
+/// Time that is counted together, milliseconds.
+const STEP_MS: u64 = 100;
+
+/// Counts by time, over one window.
+#[derive(Clone, Debug, Default)]
+struct WindowCount {
+    steps: VecDeque<(ClockTime, u32)>,
+    sum: u32,
+}
+
+impl WindowCount {
+    fn add(&mut self, now: ClockTime) {
+        let step = ClockTime(now.0 - now.0 % STEP_MS);
+        match self.steps.back_mut() {
+            Some((at, count)) if *at == step => *count += 1,
+            _ => self.steps.push_back((step, 1)),
+        }
+        self.sum += 1;
+    }
+
+    fn forget(&mut self, before: ClockTime) {
+        while let Some((at, count)) = self.steps.front().copied() {
+            if at >= before {
+                return;
+            }
+            self.sum -= count;
+            self.steps.pop_front();
+        }
+    }
+}
 
-/// Repeats that this entry may send to one service.
+/// Repeats that this gateway may send to one service.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     rule: BudgetRule,
-    tokens: f64,
-    refilled: ClockTime,
+    requests: WindowCount,
+    repeats: WindowCount,
 }
 
 impl RetryBudget {
-    /// A full budget.
+    /// A budget of which nothing is spent.
     pub fn new(rule: BudgetRule) -> RetryBudget {
         RetryBudget {
             rule,
-            tokens: most(&rule),
-            refilled: ClockTime::default(),
+            requests: WindowCount::default(),
+            repeats: WindowCount::default(),
         }
     }
 
     /// A caller's request for the service came.
-    pub fn earn(&mut self) {
-        let more = self.tokens + self.rule.ratio * RATIO_PART;
-        self.tokens = more.min(most(&self.rule));
+    pub fn earn(&mut self, now: ClockTime) {
+        self.requests.forget(now - self.rule.window_ms);
+        self.requests.add(now);
     }
 
-    /// Takes one repeat, if there is one.
-    pub fn spend(&mut self, now: ClockTime) -> bool {
-        let passed = now.since(self.refilled);
-        self.refilled = now;
-        // Half of the allowance may be spent at once and half in the course of a window.
-        let rate = most(&self.rule) / self.rule.window_ms.max(1) as f64;
-        self.tokens = (self.tokens + passed as f64 * rate).min(most(&self.rule));
-        if self.tokens < 1.0 {
+    /// Takes one repeat, if there is one, where `gateways` are known to share the allowance.
+    pub fn spend(&mut self, now: ClockTime, gateways: usize) -> bool {
+        // A step that is half in the window counts whole for repeats and not for requests.
+        self.repeats.forget(now - (self.rule.window_ms + STEP_MS));
+        self.requests
+            .forget(now - (self.rule.window_ms - STEP_MS.min(self.rule.window_ms)));
+        let share = self.rule.extra / self.rule.entries.max(gateways as f64).max(1.0);
+        let allowed = self.rule.ratio * f64::from(self.requests.sum) + share;
+        if f64::from(self.repeats.sum) + 1.0 > allowed * SPENT_PART {
             return false;
         }
-        self.tokens -= 1.0;
+        self.repeats.add(now);
         true
     }
 }
-
-fn most(rule: &BudgetRule) -> f64 {
-    rule.extra / rule.entries.max(1.0) * EXTRA_PART / 2.0
-}
--- a/src/gateway/chain.rs
+++ b/src/gateway/chain.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::ClockTime;
 use crate::gateway::catalog::EngineRule;
-use crate::gateway::peer::PeerTable;
+use crate::gateway::peer::{PeerTable, PipeKey};
 use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamRecord, UpstreamTable};
 
 /// Relative size of the random part of a cost, so that entries with one view differ.
@@ -14,6 +14,12 @@
 /// Factor on the time that a request holds a pipe between failure domains: what others wait for
 /// it.
 const PIPE_FACTOR: f64 = 24.0;
+/// Part of a pipe that requests may hold.
+const PIPE_PART: f64 = 0.35;
+/// Time that a request runs, about, milliseconds.
+const RUN_MS: f64 = 2_000.0;
+/// One-way delay between two replicas of one failure domain, milliseconds.
+const LOCAL_DELAY_MS: f64 = 0.2;
 /// Hops that a chain may have at the most.
 const HOPS_MOST: usize = 32;
 
@@ -165,7 +171,10 @@
                 continue;
             }
             let last = table.get(before.upstream);
-            let cost = before.cost + own * noise + link_cost(last, record, need);
+            let Some(link) = link_cost(last, record, need) else {
+                continue;
+            };
+            let cost = before.cost + own * noise + link;
             if best.is_none_or(|(least, _, _)| cost < least) {
                 best = Some((cost, Some(*index), before.hops + 1));
             }
@@ -228,16 +237,25 @@
     Some((need.answer * step + read) * wait)
 }
 
-/// Expected time that a request spends between two replicas, milliseconds.
-fn link_cost(last: &UpstreamRecord, next: &UpstreamRecord, need: &ChainNeed<'_>) -> f64 {
+/// Expected time that a request spends between two replicas, milliseconds; none if the pipe
+/// between their failure domains has no room.
+fn link_cost(last: &UpstreamRecord, next: &UpstreamRecord, need: &ChainNeed<'_>) -> Option<f64> {
     let engine = need.engine;
     if last.entry.domain == next.entry.domain {
-        return 0.2 * need.answer;
+        return Some(LOCAL_DELAY_MS * need.answer);
     }
+    let pipe = PipeKey::between(&last.entry.domain, &next.entry.domain);
     let delay = engine.delay_ms(&last.entry.domain, &next.entry.domain);
     let bits = engine.activation_bytes * 8.0;
-    let transfer = bits / (engine.pipe_mbps.max(1.0) * 1_000.0);
+    let transfer_ms = bits / (engine.pipe_mbps.max(1.0) * 1_000.0);
+    let held_ms = (need.prompt + need.answer) * transfer_ms;
+    // Crossings at which the pipe would be held for all the time that requests run.
+    let most = (RUN_MS * PIPE_PART / held_ms.max(0.01)).max(1.0);
+    let mut fill = f64::from(need.peers.crossings(&pipe)) / most;
+    if fill >= 1.0 && !need.must {
+        return None;
+    }
+    fill = fill.min(FILL_MOST);
     // The pipe is shared by all chains that cross there, one transfer after another.
-    let shared = (need.prompt + need.answer) * transfer * PIPE_FACTOR;
-    need.answer * delay + shared
+    Some(need.answer * delay + held_ms * PIPE_FACTOR / (1.0 - fill))
 }
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -1,11 +1,12 @@
 //! The duty of placing layers: one entry holds it under a lease, plans, and orders replicas to
 //! load what the plan lacks. Everything that it decides on is passed in; it knows no socket.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
 use crate::clock::ClockTime;
 use crate::gateway::catalog::{EngineRule, ServingConfig};
-use crate::gateway::plan::{plan_service, PlacementPlan, PlanCard, PlanSlot};
+use crate::gateway::plan::{plan_service, PlacementPlan, PlanCard};
+use crate::gateway::repair::{repair_steps, RepairStep};
 use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamTable};
 
 /// Time that the duty's lease lives without renewal, milliseconds.
@@ -343,11 +344,13 @@
             let Some(plan) = self.plan_for(now, &rule.name, engine, table, token, outputs) else {
                 continue;
             };
-            for (key, slot) in missing(&plan, &rule.name, engine, table, &self.pending) {
+            let pending = self.pending.iter();
+            let pending = pending.map(|(key, order)| (*key, order.layers)).collect();
+            for step in repair_steps(now, &plan, &rule.name, engine, table, &pending) {
                 if self.pending.len() >= LOADS_MOST && self.since + GATHER_MS * 2 < now {
                     break;
                 }
-                self.order(now, key, slot.layers(), engine, table, token, outputs);
+                self.order(now, step, engine, table, token, outputs);
             }
         }
     }
@@ -394,17 +397,19 @@
         Some(plan)
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the parts of one order")]
     fn order(
         &mut self,
         now: ClockTime,
-        key: UpstreamKey,
-        layers: LayerRange,
+        step: RepairStep,
         engine: &EngineRule,
         table: &UpstreamTable,
         token: u64,
         outputs: &mut Vec<DutyOutput>,
     ) {
+        let RepairStep {
+            upstream: key,
+            layers,
+        } = step;
         let record = table.get(key);
         // A replica that this holder never ordered is taken to be as it started; if it is not,
         // it refuses and tells its count.
@@ -448,66 +453,3 @@
         .filter_map(|rule| rule.engine.as_ref());
     engines.any(|engine| engine.layers == end)
 }
-
-/// The empty replicas that should load something, each with the slot that it fills.
-fn missing(
-    plan: &PlacementPlan,
-    service: &str,
-    engine: &EngineRule,
-    table: &UpstreamTable,
-    pending: &HashMap<UpstreamKey, PendingOrder>,
-) -> Vec<(UpstreamKey, PlanSlot)> {
-    let mut held: BTreeMap<(String, LayerRange), usize> = BTreeMap::new();
-    let mut empty: Vec<(UpstreamKey, String, String, String)> = Vec::new();
-    for (key, record) in table.iter() {
-        if record.entry.service != service || !record.listed() {
-            continue;
-        }
-        let entry = &record.entry;
-        let layers = pending
-            .get(&key)
-            .map_or(entry.layers, |pending| pending.layers);
-        if layers.is_empty() {
-            empty.push((
-                key,
-                entry.id.clone(),
-                entry.domain.clone(),
-                entry.kind.clone(),
-            ));
-        } else {
-            *held.entry((entry.domain.clone(), layers)).or_default() += 1;
-        }
-    }
-    let mut open: Vec<&PlanSlot> = Vec::new();
-    for slot in &plan.slots {
-        match held.get_mut(&(slot.domain.clone(), slot.layers())) {
-            Some(count) if *count > 0 => *count -= 1,
-            _ => open.push(slot),
-        }
-    }
-    // What a chain lacks goes before what only stands in.
-    open.sort_by_key(|slot| slot.spare);
-    let mut found = Vec::new();
-    for slot in open {
-        let fitness = |card: &(UpstreamKey, String, String, String)| {
-            let kind = engine.kind(&card.3)?;
-            let room = engine.room(kind, slot.layers().len());
-            let usual = f64::from(engine.usual_prompt + engine.usual_answer);
-            let holds = room >= 4.0 * usual * f64::from(slot.layers().len());
-            holds.then_some((
-                card.1 != slot.id,
-                card.2 != slot.domain,
-                card.3 != slot.kind,
-            ))
-        };
-        let best = empty
-            .iter()
-            .enumerate()
-            .filter_map(|(index, card)| Some((fitness(card)?, index)))
-            .min();
-        if let Some((_, index)) = best {
-            found.push((empty.remove(index).0, slot.clone()));
-        }
-    }
-    found
-}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -25,8 +25,8 @@
 use crate::gateway::state::{AdmittedCall, CallHead, SendTarget};
 use crate::gateway::upstream::UpstreamKey;
 use crate::platform::headers::{
-    answer_meta, caller_headers, put_identity, request_meta, upstream_request, AnswerMeta, PassOn,
-    RequestMeta,
+    answer_meta, caller_headers, chain_text, put_identity, request_meta, upstream_request,
+    AnswerMeta, PassOn, RequestMeta,
 };
 use crate::platform::order::{
     decode_stalled, fault_address, repath_request, report_request, StalledRequest,
@@ -53,6 +53,8 @@
 const REPATHS_MOST: u32 = 4;
 /// Time for which a request waits for room in a chain, as a part of its aim.
 const WAIT_PART: f64 = 0.5;
+/// When to come back after a refusal because this VM stops, milliseconds: others serve.
+const STOPPING_RETRY_MS: u64 = 50;
 /// Time between two looks for room, milliseconds.
 const WAIT_LOOK_MS: u64 = 25;
 
@@ -146,6 +148,15 @@
     let (parts, body) = request.into_parts();
     let meta = request_meta(&parts.headers);
     let admitted = admit(gateway, came, &parts, &meta);
+    if gateway.refuses_new() {
+        let refusal = RequestRefusal::not_run(RefusalReason::Draining, "this VM is stopping");
+        return refuse(
+            gateway,
+            &meta.id,
+            came,
+            &refusal.retry_after(STOPPING_RETRY_MS),
+        );
+    }
     let call = match admitted {
         Ok(call) => call,
         Err(refusal) => return refuse(gateway, &meta.id, came, &refusal),
@@ -275,7 +286,8 @@
 ) -> Result<OpenAnswer, TryEnd> {
     let target = wait_for_target(gateway, context, ledger, avoid).await?;
     ledger.send();
-    open(gateway, context, target, last_event)
+    let may_repeat = ledger.may_repeat(gateway.clock.now());
+    open(gateway, context, target, last_event, may_repeat)
         .await
         .map_err(TryEnd::Failed)
 }
@@ -329,6 +341,7 @@
     context: &CallContext,
     target: SendTarget,
     last_event: Option<u64>,
+    may_repeat: bool,
 ) -> Result<OpenAnswer, FailedTry> {
     let at = target.upstream;
     let failed = |failure| FailedTry { failure, at };
@@ -362,7 +375,7 @@
     let now = gateway.clock.now();
     let request = build_request(context, &flight.target, now, last_event);
     let exchange = connection.sender.try_send_request(request);
-    let answered = wait_for_head(gateway, context, &mut flight, exchange).await;
+    let answered = wait_for_head(gateway, context, &mut flight, may_repeat, exchange).await;
     let response = match answered {
         Some(Ok(response)) => response,
         Some(Err(mut error)) => {
@@ -473,6 +486,7 @@
     gateway: &Arc<Gateway>,
     context: &CallContext,
     flight: &mut CallFlight,
+    may_repeat: bool,
     exchange: impl std::future::Future<Output = T>,
 ) -> Option<T> {
     let mut exchange = std::pin::pin!(exchange);
@@ -487,7 +501,9 @@
             Err(_) => silent_ms += wait,
         }
         let asks = silent_ms % HEAD_SILENCE_MS < QUIET_MS;
-        if look_after(gateway, context, flight, asks).await == FlightHealth::Dead {
+        // Silence alone is no reason to end a request that can go nowhere else.
+        let health = look_after(gateway, context, flight, asks, may_repeat).await;
+        if health != FlightHealth::Alive && may_repeat {
             return None;
         }
     }
@@ -512,6 +528,7 @@
     context: &CallContext,
     flight: &mut CallFlight,
     asks: bool,
+    may_repeat: bool,
 ) -> FlightHealth {
     let now = gateway.clock.now();
     let doubtful = {
@@ -559,12 +576,38 @@
                 record.suspected(now) || record.gone
             })
             .collect();
+        spdlog::debug!(
+            "event=looked_after request={} age_ms={} chain={} stalled={} fault={fault:?} avoid={avoid:?}",
+            context.meta.id,
+            now.since(context.came),
+            chain_text(&flight.target.path),
+            stalled.len()
+        );
         if avoid.is_empty() {
             return FlightHealth::Alive;
         }
         avoid
     };
-    lead_round(gateway, context, flight, avoid, fault).await
+    lead_round(gateway, context, flight, avoid, fault, may_repeat).await
+}
+
+/// Leads a running request round the replicas of its chain that are leaving, while they still
+/// serve. The first one stays: it cannot be changed.
+pub async fn leave_draining(
+    gateway: &Arc<Gateway>,
+    context: &CallContext,
+    flight: &mut CallFlight,
+) -> FlightHealth {
+    let leaving: Vec<UpstreamKey> = {
+        let state = gateway.state();
+        let rest = flight.target.chain.iter().skip(1).map(|hop| hop.upstream);
+        rest.filter(|key| !state.upstreams.get(*key).listed())
+            .collect()
+    };
+    match leaving.is_empty() {
+        true => FlightHealth::Alive,
+        false => lead_round(gateway, context, flight, leaving, None, false).await,
+    }
 }
 
 /// Leads a running request over a chain without the replicas in `avoid`.
@@ -574,6 +617,7 @@
     flight: &mut CallFlight,
     mut avoid: Vec<UpstreamKey>,
     fault: Option<SocketAddr>,
+    may_repeat: bool,
 ) -> FlightHealth {
     for _ in 0..REPATHS_MOST {
         let now = gateway.clock.now();
@@ -583,6 +627,11 @@
         let Ok(target) = chosen else {
             return FlightHealth::Stuck;
         };
+        // A new run elsewhere does without what a detour through the pipes would carry.
+        if may_repeat && target.pipes.len() > flight.target.pipes.len() {
+            gateway.state().release(&target);
+            return FlightHealth::Stuck;
+        }
         match repath(gateway, context, flight, target, fault).await {
             RepathEnd::Led => return FlightHealth::Alive,
             RepathEnd::Refused(Some(key)) => avoid.push(key),
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -33,8 +33,14 @@
         .await
         .wrap_err_with(|| format!("could not listen on {address}"))?;
     tokio::spawn(async move {
+        let mut stop = gateway.stop.subscribe();
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                // Callers who come now are better served by another VM.
+                () = closing(&mut stop) => return,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     tokio::spawn(serve(gateway.clone(), stream));
                 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -96,13 +96,13 @@
     };
     let now = gateway.clock.now();
     let state = &mut *gateway.state();
-    for (key, left_ms) in state
+    for (key, ago_ms) in state
         .peers
         .hear(now, &envelope.sender, &load, &state.upstreams)
     {
-        if state.upstreams.hear_suspect(now, key, left_ms) {
+        if state.upstreams.hear_named(now, key, ago_ms) {
             let id = &state.upstreams.get(key).entry.id;
-            spdlog::info!("event=upstream_suspect id={id} told_by={from} left_ms={left_ms}");
+            spdlog::info!("event=upstream_named_dead id={id} told_by={from} ago_ms={ago_ms}");
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod plan;
 pub mod pool;
 pub mod relay;
+pub mod repair;
 pub mod run;
 pub mod state;
 pub mod sync;
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::ClockTime;
 use crate::gateway::upstream::{UpstreamKey, UpstreamTable};
-use crate::wire::gen::{GatewayLoad, UpstreamLoad};
+use crate::wire::gen::{GatewayLoad, PipeLoad, UpstreamLoad};
 
 /// Time between two messages to each peer, milliseconds.
 pub const LOAD_MS: u64 = 250;
@@ -35,6 +35,25 @@
     shares: HashMap<(String, UpstreamKey), PeerShare>,
     sums: HashMap<UpstreamKey, UpstreamShare>,
     told: Vec<UpstreamKey>,
+    own_pipes: HashMap<PipeKey, u32>,
+    peer_pipes: HashMap<(String, PipeKey), (u32, ClockTime)>,
+}
+
+/// Two failure domains, whichever way a chain crosses between them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PipeKey {
+    low: String,
+    high: String,
+}
+
+impl PipeKey {
+    /// The pipe between two failure domains.
+    pub fn between(one: &str, other: &str) -> PipeKey {
+        PipeKey {
+            low: one.min(other).to_owned(),
+            high: one.max(other).to_owned(),
+        }
+    }
 }
 
 impl PeerTable {
@@ -43,8 +62,8 @@
         self.sums.get(&key).copied().unwrap_or_default()
     }
 
-    /// Takes a peer's word. Replicas that an engine named as dead to the peer are returned with
-    /// the time for which they are passed over.
+    /// Takes a peer's word. Replicas that an engine named as dead to the peer are returned, each
+    /// with how long ago that was, milliseconds.
     pub fn hear(
         &mut self,
         now: ClockTime,
@@ -63,8 +82,8 @@
             let Some(key) = found.filter(|key| table.get(*key).entry.born == load.born) else {
                 continue;
             };
-            if load.suspect_ms > 0 {
-                suspects.push((key, u64::from(load.suspect_ms)));
+            if load.named_ago > 0 {
+                suspects.push((key, u64::from(load.named_ago - 1)));
             }
             let share = UpstreamShare {
                 in_flight: f64::from(load.in_flight),
@@ -73,14 +92,55 @@
             let heard = PeerShare { share, heard: now };
             self.shares.insert((peer.to_owned(), key), heard);
         }
+        for pipe in &load.pipes {
+            let key = PipeKey::between(&pipe.from, &pipe.to);
+            self.peer_pipes
+                .insert((peer.to_owned(), key), (pipe.in_flight, now));
+        }
         self.sum(now);
         suspects
     }
 
+    /// Requests of all gateways whose chains cross a pipe, each crossing counted.
+    pub fn crossings(&self, pipe: &PipeKey) -> u32 {
+        let peers = self.peer_pipes.iter().filter(|((_, key), _)| key == pipe);
+        let others: u32 = peers.map(|(_, (count, _))| count).sum();
+        others + self.own_pipes.get(pipe).copied().unwrap_or(0)
+    }
+
+    /// A request of this gateway crosses pipes.
+    pub fn cross(&mut self, pipes: &[PipeKey]) {
+        for pipe in pipes {
+            *self.own_pipes.entry(pipe.clone()).or_default() += 1;
+        }
+    }
+
+    /// It does not any more.
+    pub fn uncross(&mut self, pipes: &[PipeKey]) {
+        for pipe in pipes {
+            if let Some(count) = self.own_pipes.get_mut(pipe) {
+                *count = count.saturating_sub(1);
+            }
+        }
+    }
+
+    fn own_pipes(&self) -> Vec<PipeLoad> {
+        let pipes = self.own_pipes.iter();
+        pipes
+            .map(|(key, count)| PipeLoad {
+                from: key.low.clone(),
+                to: key.high.clone(),
+                in_flight: *count,
+            })
+            .collect()
+    }
+
     /// Forgets what has become old.
     pub fn sum(&mut self, now: ClockTime) {
         self.shares
             .retain(|_, peer| now.since(peer.heard) < STALE_MS);
+        self.peer_pipes
+            .retain(|_, (_, heard)| now.since(*heard) < STALE_MS);
         self.sums.clear();
         for ((_, key), peer) in &self.shares {
             let sum = self.sums.entry(*key).or_default();
@@ -94,8 +154,8 @@
         let mut loads = Vec::new();
         let mut told = Vec::new();
         for (key, record) in table.iter() {
-            let suspect_ms = record.named_left(now);
-            let busy = record.in_flight > 0 || suspect_ms > 0;
+            let named_ago = record.named_ago(now);
+            let busy = record.in_flight > 0 || named_ago.is_some();
             if !busy && !self.told.contains(&key) {
                 continue;
             }
@@ -107,15 +167,21 @@
                 born: record.entry.born,
                 in_flight: record.in_flight,
                 reserved: record.reserved as u64,
-                suspect_ms: u32::try_from(suspect_ms).unwrap_or(u32::MAX),
+                named_ago: named_ago.map_or(0, |ago| u32::try_from(ago + 1).unwrap_or(u32::MAX)),
             });
         }
         self.told = told;
         let parts = loads.chunks(LOADS_MOST);
-        parts
+        let mut messages: Vec<GatewayLoad> = parts
             .map(|part| GatewayLoad {
                 loads: part.to_vec(),
+                pipes: Vec::new(),
             })
-            .collect()
+            .collect();
+        if messages.is_empty() {
+            messages.push(GatewayLoad::default());
+        }
+        messages[0].pipes = self.own_pipes();
+        messages
     }
 }
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -13,7 +13,7 @@
 use crate::gateway::upstream::LayerRange;
 
 /// Requests whose KV memory a stage must hold at least for a chain to be worth placing.
-const REQUESTS_LEAST: f64 = 24.0;
+pub const REQUESTS_LEAST: f64 = 24.0;
 
 /// One card to plan for.
 #[derive(Clone, Debug, PartialEq)]
@@ -67,7 +67,7 @@
 }
 
 /// Layers that a card can hold beside KV memory for `tokens` tokens.
-fn layers_beside(engine: &EngineRule, kind: &CardKind, tokens: f64) -> u32 {
+pub fn layers_beside(engine: &EngineRule, kind: &CardKind, tokens: f64) -> u32 {
     let each_mb = engine.layer_mb + tokens * engine.layer_token_bytes() / 1e6;
     let most = (kind.memory_mb / each_mb).floor();
     // Few enough layers to be counted exactly.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,8 +14,8 @@
 use crate::gateway::attempt::{NextStep, TryFailure, TryLedger};
 use crate::gateway::event_stream::EventCutter;
 use crate::gateway::forward::{
-    log_end, look_after, next_try, CallContext, CallFlight, FailedTry, FlightHealth, GatewayBody,
-    OpenAnswer, TryEnd, QUIET_MS,
+    leave_draining, log_end, look_after, next_try, CallContext, CallFlight, FailedTry,
+    FlightHealth, GatewayBody, OpenAnswer, TryEnd, QUIET_MS,
 };
 use crate::gateway::run::Gateway;
 use crate::gateway::upstream::UpstreamKey;
@@ -35,6 +35,8 @@
     avoid: Vec<UpstreamKey>,
     over: bool,
     silent_ms: u64,
+    /// The changes of upstreams that the chain was checked against.
+    version: u64,
 }
 
 /// The answer that passes on the stream that was opened.
@@ -56,6 +58,7 @@
         avoid: Vec::new(),
         over: false,
         silent_ms: 0,
+        version: gateway.state().upstreams.version(),
     };
     let frames = stream::unfold(relay, |mut relay| async move {
         let piece = relay.next().await?;
@@ -93,6 +96,7 @@
                         Ok(whole) if whole.is_empty() => continue,
                         Ok(whole) => {
                             self.gateway.metrics.tokens.inc();
+                            self.follow_changes().await;
                             return Some(Ok(whole));
                         }
                         Err(fault) => format!("the stream is faulty: {fault:?}"),
@@ -109,20 +113,45 @@
                 Ok(Some(Err(error))) => error.to_string(),
                 Err(_) => {
                     self.silent_ms += wait;
-                    let asks = self.silent_ms % EVENT_SILENCE_MS < QUIET_MS;
-                    let flight = &mut self.flight;
-                    match look_after(&self.gateway, &self.context, flight, asks).await {
-                        FlightHealth::Alive => continue,
-                        health => format!("it is silent: {health:?}"),
-                    }
+                    self.look_after_silence().await;
+                    continue;
                 }
             };
-            if let Err(error) = self.resume(&failure).await {
-                return Some(Err(error));
+            if let Err(why) = self.resume(&failure).await {
+                return Some(self.break_off(&why));
+            }
+        }
+    }
+
+    /// Looks after a silent run. It goes on being waited for unless another run takes its place:
+    /// silence alone is no reason to end an answer.
+    async fn look_after_silence(&mut self) {
+        let asks = self.silent_ms % EVENT_SILENCE_MS < QUIET_MS;
+        let may_repeat = self.ledger.may_repeat(self.gateway.clock.now());
+        let flight = &mut self.flight;
+        let health = look_after(&self.gateway, &self.context, flight, asks, may_repeat).await;
+        if health != FlightHealth::Alive && may_repeat {
+            let why = format!("it is silent: {health:?}");
+            if let Err(error) = self.resume(&why).await {
+                // Nobody else has room: a detour is better than to stand still.
+                look_after(&self.gateway, &self.context, &mut self.flight, asks, false).await;
+                spdlog::info!(
+                    "event=stream_waits request={} why=\"{error}\"",
+                    self.context.meta.id
+                );
             }
         }
     }
 
+    /// Leads the run round replicas that have begun to leave.
+    async fn follow_changes(&mut self) {
+        let version = self.gateway.state().upstreams.version();
+        if version != self.version {
+            self.version = version;
+            leave_draining(&self.gateway, &self.context, &mut self.flight).await;
+        }
+    }
+
     fn break_off(&mut self, why: &str) -> Result<Bytes, io::Error> {
         self.over = true;
         spdlog::warn!(
@@ -140,7 +169,7 @@
     }
 
     /// Goes on with another run after the last event that was passed on.
-    async fn resume(&mut self, why: &str) -> Result<(), io::Error> {
+    async fn resume(&mut self, why: &str) -> Result<(), String> {
         let mut failed = FailedTry {
             failure: TryFailure::Lost,
             at: self.flight.target.upstream,
@@ -154,7 +183,7 @@
                 self.cutter.last()
             );
             if let NextStep::GiveUp(_) = self.ledger.fail(now, failed.failure) {
-                return self.break_off(why).map(drop);
+                return Err(why.to_owned());
             }
             self.avoid.push(failed.at);
             let last = self.cutter.last().or(self.context.meta.last_event);
@@ -182,7 +211,7 @@
                 }
                 Err(TryEnd::Failed(next)) => failed = next,
                 Err(TryEnd::Refused(refusal)) => {
-                    return self.break_off(&refusal.detail).map(drop);
+                    return Err(refusal.detail);
                 }
             }
         }
--- /dev/null
+++ b/src/gateway/repair.rs
@@ -0,0 +1,224 @@
+//! What must be loaded where so that the plan holds again after replicas came, left or died: a
+//! pure function of the plan and of what is held.
+
+use std::collections::HashMap;
+
+use crate::clock::ClockTime;
+use crate::gateway::catalog::EngineRule;
+use crate::gateway::plan::{layers_beside, PlacementPlan, PlanSlot, REQUESTS_LEAST};
+use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamTable};
+
+/// One range that a replica should load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RepairStep {
+    /// The replica.
+    pub upstream: UpstreamKey,
+    /// What it should hold.
+    pub layers: LayerRange,
+}
+
+#[derive(Clone, Debug)]
+struct HeldCard {
+    key: UpstreamKey,
+    id: String,
+    domain: String,
+    kind: String,
+    layers: LayerRange,
+    busy: bool,
+}
+
+/// What should be loaded at `now`. A replica that an engine named as dead counts as gone, long
+/// before the registry says so. `pending` is what was ordered and is not yet held.
+pub fn repair_steps(
+    now: ClockTime,
+    plan: &PlacementPlan,
+    service: &str,
+    engine: &EngineRule,
+    table: &UpstreamTable,
+    pending: &HashMap<UpstreamKey, LayerRange>,
+) -> Vec<RepairStep> {
+    let mut cards: Vec<HeldCard> = table
+        .iter()
+        .filter(|(_, record)| record.entry.service == service && record.listed())
+        .filter(|(_, record)| !record.named_dead(now))
+        .map(|(key, record)| HeldCard {
+            key,
+            id: record.entry.id.clone(),
+            domain: record.entry.domain.clone(),
+            kind: record.entry.kind.clone(),
+            layers: pending.get(&key).copied().unwrap_or(record.entry.layers),
+            busy: pending.contains_key(&key),
+        })
+        .collect();
+    let mut steps = fill_slots(plan, engine, &mut cards);
+    steps.extend(close_holes(plan, engine, &mut cards));
+    steps
+}
+
+/// Gives empty cards the slots of their failure domain that nobody fills: what a chain lacks goes
+/// before what only stands in, and a card's own slot and kind before others. A card without such
+/// a slot stays empty: it may be the successor of one that is about to leave.
+fn fill_slots(
+    plan: &PlacementPlan,
+    engine: &EngineRule,
+    cards: &mut [HeldCard],
+) -> Vec<RepairStep> {
+    let mut held: HashMap<(&str, LayerRange), usize> = HashMap::new();
+    let before = cards.to_vec();
+    for card in before.iter().filter(|card| !card.layers.is_empty()) {
+        *held.entry((&card.domain, card.layers)).or_default() += 1;
+    }
+    let mut open: Vec<&PlanSlot> = Vec::new();
+    for slot in &plan.slots {
+        match held.get_mut(&(slot.domain.as_str(), slot.layers())) {
+            Some(count) if *count > 0 => *count -= 1,
+            _ => open.push(slot),
+        }
+    }
+    open.sort_by_key(|slot| slot.spare);
+    let mut steps = Vec::new();
+    for slot in open {
+        let best = cards
+            .iter()
+            .enumerate()
+            .filter(|(_, card)| card.layers.is_empty() && holds(engine, card, slot))
+            .filter(|(_, card)| card.domain == slot.domain || card.id == slot.id)
+            .filter(|(_, card)| !slot.spare || card.kind == slot.kind)
+            .map(|(index, card)| ((card.id != slot.id, card.kind != slot.kind), index))
+            .min();
+        if let Some((_, index)) = best {
+            cards[index].layers = slot.layers();
+            cards[index].busy = true;
+            steps.push(RepairStep {
+                upstream: cards[index].key,
+                layers: slot.layers(),
+            });
+        }
+    }
+    steps
+}
+
+/// Whether a card can hold a slot and some requests beside it.
+fn holds(engine: &EngineRule, card: &HeldCard, slot: &PlanSlot) -> bool {
+    let Some(kind) = engine.kind(&card.kind) else {
+        return false;
+    };
+    layers_beside(engine, kind, least_tokens(engine)) >= slot.layers().len()
+}
+
+/// KV memory that a card in second place keeps at least, tokens.
+fn least_tokens(engine: &EngineRule) -> f64 {
+    REQUESTS_LEAST / 2.0 * f64::from(engine.usual_prompt + engine.usual_answer)
+}
+
+/// Lets cards that only stand in take over ranges that nobody in their domain holds.
+fn close_holes(
+    plan: &PlacementPlan,
+    engine: &EngineRule,
+    cards: &mut [HeldCard],
+) -> Vec<RepairStep> {
+    let main = plan.slots.iter().filter(|slot| !slot.spare);
+    let mut domains: Vec<&str> = main.map(|slot| slot.domain.as_str()).collect();
+    domains.sort_unstable();
+    domains.dedup();
+    // A plan pooled over domains has no chain of one domain to mend.
+    domains.retain(|domain| planned_layers(plan, domain) >= engine.layers);
+    let mut steps = Vec::new();
+    for domain in domains {
+        let hole = first_hole(engine, cards, domain);
+        if let Some(hole) = hole {
+            steps.extend(close_hole(engine, cards, domain, hole));
+        }
+    }
+    steps
+}
+
+fn planned_layers(plan: &PlacementPlan, domain: &str) -> u32 {
+    let slots = plan
+        .slots
+        .iter()
+        .filter(|slot| !slot.spare && slot.domain == domain);
+    slots.map(|slot| slot.layers().len()).sum()
+}
+
+/// How many cards of a domain hold each layer.
+fn holders(engine: &EngineRule, cards: &[HeldCard], domain: &str) -> Vec<u32> {
+    let mut count = vec![0; engine.layers as usize];
+    for card in cards.iter().filter(|card| card.domain == domain) {
+        for layer in card.layers.from..card.layers.to.min(engine.layers) {
+            count[layer as usize] += 1;
+        }
+    }
+    count
+}
+
+fn first_hole(engine: &EngineRule, cards: &[HeldCard], domain: &str) -> Option<LayerRange> {
+    let count = holders(engine, cards, domain);
+    let from = count.iter().position(|held| *held == 0)?;
+    let rest = &count[from..];
+    let length = rest.iter().position(|held| *held > 0).unwrap_or(rest.len());
+    Some(LayerRange {
+        from: u32::try_from(from).ok()?,
+        to: u32::try_from(from + length).ok()?,
+    })
+}
+
+/// The cards that take over a hole; none if they cannot hold all of it.
+fn close_hole(
+    engine: &EngineRule,
+    cards: &mut [HeldCard],
+    domain: &str,
+    hole: LayerRange,
+) -> Vec<RepairStep> {
+    let mut taken: Vec<(usize, u32)> = Vec::new();
+    let mut able = 0;
+    while able < hole.len() {
+        let mut count = holders(engine, cards, domain);
+        for (index, _) in &taken {
+            for layer in cards[*index].layers.from..cards[*index].layers.to {
+                count[layer as usize] -= 1;
+            }
+        }
+        let free = cards.iter().enumerate().filter(|(index, card)| {
+            let mut layers = card.layers.from..card.layers.to;
+            let doubled = layers.all(|layer| count[layer as usize] > 1);
+            let used = taken.iter().any(|(other, _)| other == index);
+            card.domain == domain && !card.busy && !used && doubled
+        });
+        let most = |card: &HeldCard| {
+            let kind = engine.kind(&card.kind)?;
+            let layers = layers_beside(engine, kind, least_tokens(engine));
+            (layers > 0).then_some((kind.step_factor, layers))
+        };
+        // Empty cards first; else the slowest, which are missed least where they are.
+        let spare = free
+            .filter_map(|(index, card)| Some((card.layers.is_empty(), most(card)?, index)))
+            .max_by(|(empty, (one, _), _), (other_empty, (other, _), _)| {
+                empty.cmp(other_empty).then(one.total_cmp(other))
+            });
+        let Some((_, (_, layers), index)) = spare else {
+            return Vec::new();
+        };
+        able += layers;
+        taken.push((index, layers));
+    }
+    let mut steps = Vec::new();
+    let mut from = hole.from;
+    let mut cards_left = u32::try_from(taken.len()).unwrap_or(u32::MAX);
+    for (index, most) in taken {
+        let even = (hole.to - from).div_ceil(cards_left).min(most);
+        let layers = LayerRange {
+            from,
+            to: from + even,
+        };
+        cards[index].layers = layers;
+        cards[index].busy = true;
+        steps.push(RepairStep {
+            upstream: cards[index].key,
+            layers,
+        });
+        from += even;
+        cards_left -= 1;
+    }
+    steps
+}
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -28,7 +28,7 @@
 use crate::web::{self, answer, WebRoute};
 
 /// Time after the signal to stop in which the balancer learns of it, milliseconds.
-const LEAVE_MS: u64 = 2_800;
+const LEAVE_MS: u64 = 2_500;
 /// Time before the bound of a planned stop at which it ends, milliseconds.
 const STOP_MARGIN_MS: u64 = 400;
 /// Time between two looks whether all requests have ended, milliseconds.
@@ -41,7 +41,7 @@
     Serving,
     /// New connections may still come; each answer closes its connection.
     Leaving,
-    /// Idle connections are closed.
+    /// Idle connections are closed and new requests refused.
     Closing,
 }
 
@@ -82,6 +82,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether new requests are refused, since they might not end before this VM stops.
+    pub fn refuses_new(&self) -> bool {
+        *self.stop.borrow() == StopPhase::Closing
+    }
+
     /// Whether callers are better served elsewhere: their connections end with the answer.
     pub fn leads_away(&self) -> bool {
         let stopping = *self.stop.borrow() != StopPhase::Serving;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,7 +12,7 @@
 use crate::gateway::catalog::{split_target, RouteMiss, RouteTable, ServingConfig, WorkKind};
 use crate::gateway::chain::{choose_chain, ChainHop, ChainNeed};
 use crate::gateway::freshness::ConfigProof;
-use crate::gateway::peer::PeerTable;
+use crate::gateway::peer::{PeerTable, PipeKey};
 use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamTable};
 use crate::verdict::{RefusalReason, RequestRefusal};
 
@@ -101,6 +101,8 @@
     pub path: Vec<(SocketAddr, LayerRange)>,
     /// What is reserved at each upstream of it.
     reserved: Vec<(UpstreamKey, f64)>,
+    /// The pipes between failure domains that the chain crosses.
+    pub pipes: Vec<PipeKey>,
 }
 
 /// The state of a gateway.
@@ -230,7 +232,7 @@
         }
         let rule = self.setup.budget;
         let budget = self.budgets.entry(call.service.clone());
-        budget.or_insert_with(|| RetryBudget::new(rule)).earn();
+        budget.or_insert_with(|| RetryBudget::new(rule)).earn(now);
         Ok(call)
     }
 
@@ -242,8 +244,11 @@
     /// Takes a repeat for a service out of the budget.
     pub fn spend_repeat(&mut self, now: ClockTime, service: &str) -> bool {
         let rule = self.setup.budget;
+        let gateways = self.peer_addresses.len() + 1;
         let budget = self.budgets.entry(service.to_owned());
-        budget.or_insert_with(|| RetryBudget::new(rule)).spend(now)
+        budget
+            .or_insert_with(|| RetryBudget::new(rule))
+            .spend(now, gateways)
     }
 
     /// Chooses where a request goes, round `avoid`. A request that is running keeps its first
@@ -330,6 +335,15 @@
         for (key, amount) in &reserved {
             self.upstreams.begin(*key, *amount);
         }
+        let domain = |hop: &ChainHop| self.upstreams.get(hop.upstream).entry.domain.as_str();
+        let links = chain
+            .windows(2)
+            .map(|pair| (domain(&pair[0]), domain(&pair[1])));
+        let crossed = links.filter(|(from, to)| from != to);
+        let pipes: Vec<PipeKey> = crossed
+            .map(|(from, to)| PipeKey::between(from, to))
+            .collect();
+        self.peers.cross(&pipes);
         let entry = &self.upstreams.get(upstream).entry;
         let path = chain
             .iter()
@@ -341,6 +355,7 @@
             path: path.collect(),
             chain,
             reserved,
+            pipes,
         }
     }
 
@@ -349,6 +364,7 @@
         for (key, amount) in &target.reserved {
             self.upstreams.end(*key, *amount);
         }
+        self.peers.uncross(&target.pipes);
     }
 }
 
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -14,7 +14,7 @@
 use crate::gateway::run::Gateway;
 use crate::platform::kv::{KvStore, StoreChange, WatchAnswer};
 use crate::platform::manifest::decode_config;
-use crate::platform::order::{order_reply, place_request};
+use crate::platform::order::{decode_sequence, order_reply, place_request, report_request};
 use crate::platform::registry::{decode_entry, entry_id};
 use crate::platform::{CONFIG_KEY, DUTY_KEY, GATEWAY_PREFIX, PLAN_KEY, REGISTRY_PREFIX};
 use crate::store::{
@@ -681,7 +681,10 @@
                 let text = String::from_utf8_lossy(&body);
                 spdlog::warn!("event=order_refused upstream={id} status={status} body=\"{text}\"");
             }
-            order_reply(status, &body)
+            match order_reply(status) {
+                OrderReply::Unfit(_) => OrderReply::Unfit(ask_sequence(gateway, address).await),
+                reply => reply,
+            }
         }
         Ok(Err(error)) => {
             spdlog::warn!("event=order_failed upstream={id} error=\"{error:#}\"");
@@ -690,3 +693,28 @@
         Err(_) => OrderReply::Unanswered,
     }
 }
+
+/// Asks a replica how many orders it has taken.
+async fn ask_sequence(gateway: &Gateway, address: SocketAddr) -> Option<u64> {
+    let request = match report_request(address) {
+        Ok(request) => request,
+        Err(error) => {
+            spdlog::error!("event=question_unmade error=\"{error:#}\"");
+            return None;
+        }
+    };
+    let asked = fetch::send(&gateway.client, request);
+    match tokio::time::timeout(Duration::from_millis(ORDER_MS), asked).await {
+        Ok(Ok((200, body))) => match decode_sequence(&body) {
+            Ok(sequence) => Some(sequence),
+            Err(error) => {
+                spdlog::warn!("event=report_unread address={address} error=\"{error:#}\"");
+                None
+            }
+        },
+        other => {
+            spdlog::warn!("event=report_unanswered address={address} result={other:?}");
+            None
+        }
+    }
+}
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -13,6 +13,11 @@
 const SHUN_MS: u64 = 250;
 /// Longest time for which a failed upstream is passed over, milliseconds.
 const SUSPECT_MOST_MS: u64 = 4_000;
+/// Time for which a replica that an engine named as dead counts so without other word,
+/// milliseconds: its entry lapses within three heartbeats.
+const NAMED_MS: u64 = 4_500;
+/// Time that a heartbeat may be on its way to a gateway, milliseconds.
+const BEAT_DELAY_MS: u64 = 1_500;
 /// Time for which a vanished entry is kept when the store was away just before, milliseconds:
 /// entries of living upstreams are back within two seconds.
 const LAPSE_GRACE_MS: u64 = 2_500;
@@ -73,6 +78,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct UpstreamKey(pub u32);
 
+/// An engine's word that a replica is dead or cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct NamedDead {
+    at: ClockTime,
+    /// Whether this gateway was told by the engine itself, and so tells the others.
+    first_hand: bool,
+}
+
 /// One incarnation of an upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamRecord {
@@ -86,8 +99,11 @@
     suspect_until: ClockTime,
     /// Gets nothing new until then: it had no room, or may be about to be found dead.
     shun_until: ClockTime,
-    /// Until when other gateways are told to pass it over, since an engine named it as dead.
-    named_until: ClockTime,
+    /// When an engine named it as dead, to this gateway or to another, unless it has been heard
+    /// of since.
+    named: Option<NamedDead>,
+    /// When it was last heard of.
+    heard: ClockTime,
     /// Failures in a row.
     failures: u32,
     /// Requests of this entry in flight there.
@@ -102,14 +118,23 @@
         self.listed() && !self.suspected(now) && now >= self.shun_until
     }
 
+    /// Whether an engine named it as dead and nothing was heard of it since.
+    pub fn named_dead(&self, now: ClockTime) -> bool {
+        self.named
+            .is_some_and(|named| now.since(named.at) < NAMED_MS)
+    }
+
     /// Whether work failed there of late in a way that speaks against it.
     pub fn suspected(&self, now: ClockTime) -> bool {
-        now < self.suspect_until
+        now < self.suspect_until || self.named_dead(now)
     }
 
-    /// How much longer other gateways are told to pass it over, milliseconds.
-    pub fn named_left(&self, now: ClockTime) -> u64 {
-        self.named_until.since(now)
+    /// How long ago an engine named it as dead to this gateway, milliseconds.
+    pub fn named_ago(&self, now: ClockTime) -> Option<u64> {
+        let named = self.named.filter(|named| named.first_hand);
+        named
+            .map(|named| now.since(named.at))
+            .filter(|ago| *ago < NAMED_MS)
     }
 
     /// Whether a request that is silent may be waiting for it.
@@ -164,6 +189,16 @@
                 return false;
             }
             if record.entry.born == entry.born && !record.gone {
+                if entry.revision > record.entry.revision {
+                    record.heard = now;
+                    // A heartbeat that was on its way when the replica died proves nothing.
+                    if record
+                        .named
+                        .is_some_and(|named| now >= named.at + BEAT_DELAY_MS)
+                    {
+                        record.named = None;
+                    }
+                }
                 let changed = record.gone_at.take().is_some()
                     || record.entry.draining != entry.draining
                     || record.entry.layers != entry.layers
@@ -184,7 +219,8 @@
             gone_at: None,
             suspect_until: now,
             shun_until: now,
-            named_until: now,
+            named: None,
+            heard: now,
             failures: 0,
             in_flight: 0,
             reserved: 0.0,
@@ -240,20 +276,39 @@
 
     /// An engine named the replica as dead or cut off.
     pub fn name_dead(&mut self, now: ClockTime, key: UpstreamKey) {
-        self.suspect(now, key);
-        let record = &mut self.records[key.0 as usize];
-        record.named_until = record.suspect_until;
+        self.take_name(
+            key,
+            NamedDead {
+                at: now,
+                first_hand: true,
+            },
+        );
     }
 
-    /// Another gateway was told so by an engine. Returns whether that is news.
-    pub fn hear_suspect(&mut self, now: ClockTime, key: UpstreamKey, left_ms: u64) -> bool {
-        let record = &mut self.records[key.0 as usize];
-        let news = now >= record.suspect_until;
-        record.suspect_until = record.suspect_until.max(now + left_ms.min(SUSPECT_MS));
-        self.version += u64::from(news);
+    /// Another gateway was told so by an engine, some milliseconds ago. Returns whether that is
+    /// news.
+    pub fn hear_named(&mut self, now: ClockTime, key: UpstreamKey, ago_ms: u64) -> bool {
+        let record = &self.records[key.0 as usize];
+        let at = now - ago_ms;
+        let heard = record.heard >= at + BEAT_DELAY_MS;
+        let news = !heard && !record.named_dead(now);
+        if news {
+            self.take_name(
+                key,
+                NamedDead {
+                    at,
+                    first_hand: false,
+                },
+            );
+        }
         news
     }
 
+    fn take_name(&mut self, key: UpstreamKey, named: NamedDead) {
+        self.records[key.0 as usize].named = Some(named);
+        self.version += 1;
+    }
+
     /// A replica of a chain refused: it had no room, or it is about to be found dead.
     pub fn shun(&mut self, now: ClockTime, key: UpstreamKey) {
         let record = &mut self.records[key.0 as usize];
--- a/src/platform/order.rs
+++ b/src/platform/order.rs
@@ -27,6 +27,8 @@
 struct RawReport {
     #[serde(default)]
     stalled: Vec<RawStalled>,
+    #[serde(default)]
+    sequence: u64,
 }
 
 #[derive(Deserialize)]
@@ -109,15 +111,22 @@
     Ok(stalled.collect())
 }
 
+/// The number of orders that a replica has taken, out of its report.
+///
+/// # Errors
+///
+/// When the report is not JSON of the expected form.
+pub fn decode_sequence(body: &[u8]) -> eyre::Result<u64> {
+    let report: RawReport = serde_json::from_slice(body).wrap_err("could not read a report")?;
+    Ok(report.sequence)
+}
+
 /// Reads the answer to an order.
-pub fn order_reply(status: u16, body: &[u8]) -> OrderReply {
+pub fn order_reply(status: u16) -> OrderReply {
     match status {
         202 => OrderReply::Begun,
         200 => OrderReply::Done,
-        409 => {
-            let value: Value = serde_json::from_slice(body).unwrap_or_default();
-            OrderReply::Unfit(value.get("sequence").and_then(Value::as_u64))
-        }
+        409 => OrderReply::Unfit(None),
         412 => OrderReply::Fenced,
         400 | 404 | 421 => OrderReply::Rejected,
         _ => OrderReply::Unanswered,
--- a/src/wire/gen.rs
+++ b/src/wire/gen.rs
@@ -443,6 +443,18 @@
 pub struct GatewayLoad {
     #[prost(message, repeated, tag = "1")]
     pub loads: ::prost::alloc::vec::Vec<UpstreamLoad>,
+    #[prost(message, repeated, tag = "2")]
+    pub pipes: ::prost::alloc::vec::Vec<PipeLoad>,
+}
+/// Requests of a gateway whose chains cross between two failure domains.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PipeLoad {
+    #[prost(string, tag = "1")]
+    pub from: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub to: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "3")]
+    pub in_flight: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct UpstreamLoad {
@@ -457,9 +469,9 @@
     /// Tokens times layers that the requests in flight are expected to need.
     #[prost(uint64, tag = "4")]
     pub reserved: u64,
-    /// How much longer it is passed over because work failed there, milliseconds.
+    /// How long ago an engine named it to this gateway as dead, milliseconds, plus one; zero if not.
     #[prost(uint32, tag = "5")]
-    pub suspect_ms: u32,
+    pub named_ago: u32,
 }
 /// Whether a request ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
