--- a/src/gateway/repair.rs
+++ b/src/gateway/repair.rs
@@ -63,27 +63,16 @@
     engine: &EngineRule,
     cards: &mut [HeldCard],
 ) -> Vec<RepairStep> {
-    let mut held: HashMap<(&str, LayerRange), usize> = HashMap::new();
     let before = cards.to_vec();
-    for card in before.iter().filter(|card| !card.layers.is_empty()) {
-        *held.entry((&card.domain, card.layers)).or_default() += 1;
-    }
-    let mut open: Vec<&PlanSlot> = Vec::new();
-    for slot in &plan.slots {
-        match held.get_mut(&(slot.domain.as_str(), slot.layers())) {
-            Some(count) if *count > 0 => *count -= 1,
-            _ => open.push(slot),
-        }
-    }
-    open.sort_by_key(|slot| slot.spare);
+    let open = open_slots(plan, &before);
     let mut steps = Vec::new();
-    for slot in open {
+    for (slot, weakly_held) in open {
         let best = cards
             .iter()
             .enumerate()
             .filter(|(_, card)| card.layers.is_empty() && holds(engine, card, slot))
             .filter(|(_, card)| card.domain == slot.domain || card.id == slot.id)
-            .filter(|(_, card)| !slot.spare || card.kind == slot.kind)
+            .filter(|(_, card)| card.kind == slot.kind || !(slot.spare || weakly_held))
             .map(|(index, card)| ((card.id != slot.id, card.kind != slot.kind), index))
             .min();
         if let Some((_, index)) = best {
@@ -98,6 +87,28 @@
     steps
 }
 
+/// The slots that no card of their kind fills, those of chains first; each with whether a card of
+/// another kind holds its range without a slot of its own for it.
+fn open_slots<'a>(plan: &'a PlacementPlan, cards: &[HeldCard]) -> Vec<(&'a PlanSlot, bool)> {
+    let mut held: Vec<(&str, &str, LayerRange)> = cards
+        .iter()
+        .filter(|card| !card.layers.is_empty())
+        .map(|card| (card.domain.as_str(), card.kind.as_str(), card.layers))
+        .collect();
+    let mut take = |fits: &dyn Fn(&(&str, &str, LayerRange)) -> bool| {
+        let found = held.iter().position(fits);
+        found.map(|index| held.swap_remove(index)).is_some()
+    };
+    let mut open: Vec<&PlanSlot> = plan.slots.iter().collect();
+    open.retain(|slot| !take(&|held| *held == (&slot.domain, &slot.kind, slot.layers())));
+    open.sort_by_key(|slot| slot.spare);
+    let weakly = |slot: &'a PlanSlot| {
+        let held = take(&|held| held.0 == slot.domain && held.2 == slot.layers());
+        (slot, held)
+    };
+    open.into_iter().map(weakly).collect()
+}
+
 /// Whether a card can hold a slot and some requests beside it.
 fn holds(engine: &EngineRule, card: &HeldCard, slot: &PlanSlot) -> bool {
     let Some(kind) = engine.kind(&card.kind) else {
--- /dev/null
+++ b/tests/gateway/adapter.rs
@@ -0,0 +1,261 @@
+//! The platform's names and formats, decoded once.
+
+use http::{HeaderMap, Request};
+use lynxcart::gateway::catalog::WorkKind;
+use lynxcart::gateway::duty::OrderReply;
+use lynxcart::gateway::upstream::LayerRange;
+use lynxcart::platform::headers::{
+    answer_meta, caller_headers, request_meta, upstream_request, PassOn,
+};
+use lynxcart::platform::manifest::decode_config;
+use lynxcart::platform::order::{decode_sequence, decode_stalled, order_reply};
+use lynxcart::platform::registry::decode_entry;
+use lynxcart::store::PlatformItem;
+
+const CONFIG: &str = r#"{"version":7,"routes":[
+ {"name":"r","host":"h.example","prefix":"/l/","kind":"streaming","timeout_ms":20000,"aim_ms":500,
+  "priority":1,"split":[{"service":"m","weight":90},{"service":"w","weight":10}],"max_attempts":2,
+  "anonymous":false,"sticky":true,"resumable":true,"gap_target_ms":250},
+ {"name":"q","host":"h.example","prefix":"/p/","kind":"something_new","timeout_ms":1000,
+  "service":"w","max_attempts":1}],
+ "services":[{"name":"m","health_path":"/healthz","max_connections":1138,"engine":{"slots":192,
+  "kv_bytes":590000,"stride":4,"models":[{"name":"x","load_s":14.0}],"step_ms":1.02,
+  "per_seq_ms":0.00459,"context_per_k":0.00615,"read_per_s":164000.0,
+  "delays":[{"from":"a","to":"b","delay_ms":0.5}],"usual":{"prompt":775,"answer":216},"layers":80,
+  "layer_mb":1750.0,"act_bytes":29500,"pipe_mbps":13000.0,
+  "kinds":[{"name":"a100","mb":72000.0,"pace":2.4,"read_factor":3.2}]}},{"name":"w"}],
+ "limits":{"max_body_bytes":1000,"idle_timeout_ms":9000},
+ "tenants":[{"name":"t","api_keys":["k"],"priority":3}]}"#;
+
+#[test]
+fn a_configuration_is_read_whole() {
+    let config = decode_config(CONFIG.as_bytes()).unwrap();
+    assert_eq!((config.version, config.routes.len()), (7, 2));
+    assert_eq!(config.routes[0].kind, WorkKind::Streaming);
+    assert_eq!(config.routes[0].targets.len(), 2);
+    assert!(config.routes[0].repeatable());
+    assert_eq!(
+        config.routes[1].kind,
+        WorkKind::NonIdempotent,
+        "the cautious kind"
+    );
+    assert!(!config.routes[1].repeatable());
+    let engine = config.services[0].engine.as_ref().unwrap();
+    assert_eq!(
+        (engine.layers, engine.load_ms, engine.usual_prompt),
+        (80, 14_000.0, 775)
+    );
+    assert_eq!(engine.delay_ms("b", "a"), 0.5);
+    assert!(config.services[1].engine.is_none());
+    assert_eq!(
+        (config.limits.body_bytes, config.limits.idle_timeout_ms),
+        (1_000, 9_000)
+    );
+    assert_eq!(config.teams.unwrap()[0].priority, Some(3));
+}
+
+#[test]
+fn what_is_no_configuration_is_an_error() {
+    for text in [
+        "",
+        "{}",
+        "[]",
+        "{\"version\":\"x\"}",
+        "{\"version\":1,\"routes\":[{}]}",
+        "\u{0}",
+    ] {
+        assert!(decode_config(text.as_bytes()).is_err(), "{text:?}");
+    }
+}
+
+fn item(value: &str) -> PlatformItem {
+    PlatformItem {
+        key: "servers/i-1".to_owned(),
+        value: value.as_bytes().to_vec(),
+        create_revision: 1,
+        mod_revision: 9,
+    }
+}
+
+#[test]
+fn an_entry_of_the_registry_is_read_or_names_no_upstream() {
+    let text = r#"{"service":"m","address":"10.1.0.9:80","zone":"a","version":"v1","slots":192,
+        "state":"ready","cold_remaining_ms":0,"kind":"v100","born":5,"sequence":4,
+        "layers":{"from":6,"to":12,"version":1}}"#;
+    let entry = decode_entry(&item(text)).unwrap();
+    assert_eq!(
+        (entry.id.as_str(), entry.born, entry.revision),
+        ("i-1", 5, 9)
+    );
+    assert_eq!(entry.layers, LayerRange { from: 6, to: 12 });
+    let bad = [
+        "",
+        "{}",
+        r#"{"service":"m","address":"10.1.0.9:80","zone":"a","slots":1,"state":"asleep"}"#,
+        r#"{"service":"m","address":"nowhere","zone":"a","slots":1,"state":"ready"}"#,
+        r#"{"service":"m","address":"10.1.0.9:80","zone":"a","slots":"many","state":"ready"}"#,
+        r#"{"service":7,"address":"10.1.0.9:80","zone":"a","slots":1,"state":"ready"}"#,
+    ];
+    for text in bad {
+        assert!(decode_entry(&item(text)).is_err(), "{text}");
+    }
+}
+
+fn caller_request() -> http::request::Parts {
+    let request = Request::post("/l/x?q=1")
+        .header("host", "h.example")
+        .header("x-attempt-id", "9c41")
+        .header("x-api-key", "secret")
+        .header("x-tenant", "forged")
+        .header("x-expect-replica", "forged")
+        .header("x-hops", "forged")
+        .header("x-request-priority", "0")
+        .header("x-deadline-ms", "20000")
+        .header("x-token-count", "1460, 80")
+        .header("x-length-hint", "33")
+        .header("last-event-id", "12")
+        .header("connection", "keep-alive, x-private")
+        .header("x-private", "1")
+        .header("x-kept", "1");
+    request.body(()).unwrap().into_parts().0
+}
+
+#[test]
+fn an_upstream_gets_the_callers_request_and_no_more_than_it_should() {
+    let parts = caller_request();
+    let meta = request_meta(&parts.headers);
+    assert_eq!((meta.id.as_str(), meta.key.as_str()), ("9c41", "secret"));
+    assert_eq!((meta.prompt_tokens, meta.answer_tokens), (1_460, 80));
+    assert_eq!((meta.answer_hint, meta.last_event), (Some(33), Some(12)));
+    let chain = [
+        (
+            "10.1.0.9:80".parse().unwrap(),
+            LayerRange { from: 0, to: 20 },
+        ),
+        (
+            "10.2.0.9:80".parse().unwrap(),
+            LayerRange { from: 20, to: 80 },
+        ),
+    ];
+    let pass = PassOn {
+        left_ms: 19_000,
+        upstream: "i-1",
+        team: Some("mill"),
+        priority: Some(12),
+        chain: &chain,
+        last_event: None,
+    };
+    let request = upstream_request(&parts, &pass, ());
+    assert_eq!(
+        (
+            request.method().as_str(),
+            request.uri().to_string().as_str()
+        ),
+        ("POST", "/l/x?q=1")
+    );
+    let expected = [
+        ("host", Some("h.example")),
+        ("x-attempt-id", Some("9c41")),
+        ("x-api-key", None),
+        ("x-tenant", Some("mill")),
+        ("x-expect-replica", Some("i-1")),
+        ("x-hops", Some("10.1.0.9:80=0-20,10.2.0.9:80=20-80")),
+        ("x-request-priority", Some("9")),
+        ("x-deadline-ms", Some("19000")),
+        ("x-token-count", Some("1460, 80")),
+        ("last-event-id", Some("12")),
+        ("connection", None),
+        ("x-private", None),
+        ("x-kept", Some("1")),
+    ];
+    for (name, value) in expected {
+        let found = request
+            .headers()
+            .get(name)
+            .map(|value| value.to_str().unwrap());
+        assert_eq!(found, value, "{name}");
+        assert!(
+            request.headers().get_all(name).iter().count() <= 1,
+            "{name} stands twice"
+        );
+    }
+}
+
+#[test]
+fn without_a_team_a_forged_one_goes_nowhere() {
+    let pass = PassOn {
+        left_ms: 1,
+        upstream: "i-1",
+        team: None,
+        priority: None,
+        chain: &[],
+        last_event: Some(3),
+    };
+    let request = upstream_request(&caller_request(), &pass, ());
+    assert!(request.headers().get("x-tenant").is_none());
+    assert!(request.headers().get("x-hops").is_none());
+    assert_eq!(request.headers()["last-event-id"], "3");
+}
+
+fn headers(rows: &[(&'static str, &'static str)]) -> HeaderMap {
+    rows.iter()
+        .map(|(name, value)| (name.parse().unwrap(), value.parse().unwrap()))
+        .collect()
+}
+
+#[test]
+fn an_answer_is_ours_by_its_identity_alone() {
+    let meta = answer_meta(
+        "9c41",
+        &headers(&[
+            ("x-attempt-id", "9c41"),
+            ("x-replica-stamp", "s"),
+            ("keep-alive", "max=9, timeout=7"),
+            ("connection", "Close"),
+        ]),
+    );
+    assert!(meta.is_ours && meta.signed && meta.closes && !meta.not_run && !meta.names_another);
+    assert_eq!(meta.idle_ms, Some(7_000));
+    let other = answer_meta(
+        "9c41",
+        &headers(&[("x-attempt-id", "ffff"), ("x-not-executed", "1")]),
+    );
+    assert!(!other.is_ours && other.names_another);
+    let none = answer_meta("9c41", &headers(&[("at-server", "10.1.0.9:80")]));
+    assert!(!none.is_ours && !none.names_another);
+    assert_eq!(none.at, Some("10.1.0.9:80".parse().unwrap()));
+}
+
+#[test]
+fn headers_of_one_connection_stay_there() {
+    let passed = caller_headers(&headers(&[
+        ("connection", "x-hop"),
+        ("x-hop", "1"),
+        ("transfer-encoding", "chunked"),
+        ("keep-alive", "timeout=7"),
+        ("x-replica-stamp", "s"),
+    ]));
+    assert_eq!(passed.len(), 1);
+    assert_eq!(passed["x-replica-stamp"], "s");
+}
+
+#[test]
+fn orders_and_reports() {
+    let cases = [
+        (202, OrderReply::Begun),
+        (200, OrderReply::Done),
+        (409, OrderReply::Unfit(None)),
+        (412, OrderReply::Fenced),
+        (421, OrderReply::Rejected),
+        (503, OrderReply::Unanswered),
+    ];
+    for (status, reply) in cases {
+        assert_eq!(order_reply(status), reply, "{status}");
+    }
+    let report = br#"{"sequence":4,"stalled":[{"id":"9c41","address":"10.1.0.9:80"},{"id":"x"}]}"#;
+    assert_eq!(decode_sequence(report).unwrap(), 4);
+    let stalled = decode_stalled(report).unwrap();
+    assert_eq!(stalled[0].address, Some("10.1.0.9:80".parse().unwrap()));
+    assert_eq!((stalled[1].id.as_str(), stalled[1].address), ("x", None));
+    assert!(decode_stalled(b"no").is_err());
+}
--- /dev/null
+++ b/tests/gateway/fixture.rs
@@ -0,0 +1,116 @@
+//! A fleet like the users': three failure domains with cards of three kinds.
+
+use lynxcart::clock::ClockTime;
+use lynxcart::gateway::catalog::{CardKind, EngineRule, ServiceRule, ServingConfig};
+use lynxcart::gateway::plan::{plan_service, PlacementPlan, PlanCard};
+use lynxcart::gateway::upstream::{LayerRange, UpstreamEntry, UpstreamKey, UpstreamTable};
+
+pub const SERVICE: &str = "model";
+pub const DOMAINS: [&str; 3] = ["a", "b", "c"];
+/// Cards of each kind in each domain.
+const CARDS: [(&str, [u32; 3]); 3] = [("a100", [1, 2, 1]), ("v100", [10, 4, 6]), ("l4", [4, 4, 6])];
+
+pub fn engine() -> EngineRule {
+    let kind = |name: &str, memory_mb, step_factor, read_factor| CardKind {
+        name: name.to_owned(),
+        memory_mb,
+        step_factor,
+        read_factor,
+    };
+    let delay = |from: &str, to: &str| (from.to_owned(), to.to_owned(), 0.5);
+    EngineRule {
+        layers: 80,
+        layer_mb: 1_750.0,
+        kv_bytes: 590_000.0,
+        step_ms: 1.02,
+        per_request_ms: 0.00459,
+        context_ms: 0.00615,
+        read_per_s: 164_000.0,
+        stride: 4,
+        slots: 192,
+        load_ms: 14_000.0,
+        usual_prompt: 775,
+        usual_answer: 216,
+        delays: vec![delay("a", "b"), delay("a", "c"), delay("b", "c")],
+        activation_bytes: 29_500.0,
+        pipe_mbps: 13_000.0,
+        kinds: vec![
+            kind("a100", 72_000.0, 2.4, 3.2),
+            kind("v100", 14_400.0, 5.3, 7.9),
+            kind("l4", 21_600.0, 16.0, 8.2),
+        ],
+    }
+}
+
+pub fn config() -> ServingConfig {
+    ServingConfig {
+        version: 1,
+        services: vec![ServiceRule {
+            name: SERVICE.to_owned(),
+            max_connections: 1_000,
+            engine: Some(engine()),
+        }],
+        ..ServingConfig::default()
+    }
+}
+
+pub fn cards() -> Vec<PlanCard> {
+    let mut cards = Vec::new();
+    for (kind, counts) in CARDS {
+        for (domain, count) in DOMAINS.iter().zip(counts) {
+            for number in 0..count {
+                cards.push(PlanCard {
+                    id: format!("{kind}-{domain}-{number:02}"),
+                    domain: (*domain).to_owned(),
+                    kind: kind.to_owned(),
+                });
+            }
+        }
+    }
+    cards
+}
+
+pub fn entry(number: u16, id: &str, domain: &str, kind: &str, layers: LayerRange) -> UpstreamEntry {
+    UpstreamEntry {
+        id: id.to_owned(),
+        born: 1,
+        service: SERVICE.to_owned(),
+        address: format!("10.0.{}.{}:80", number / 250, number % 250 + 1)
+            .parse()
+            .unwrap(),
+        domain: domain.to_owned(),
+        slots: 192,
+        draining: false,
+        kind: kind.to_owned(),
+        layers,
+        revision: 1,
+    }
+}
+
+/// A fleet that holds what the plan says.
+pub fn placed() -> (PlacementPlan, UpstreamTable) {
+    let plan = plan_service(&engine(), &cards());
+    let mut table = UpstreamTable::default();
+    for (number, slot) in plan.slots.iter().enumerate() {
+        let number = u16::try_from(number).unwrap();
+        let entry = entry(number, &slot.id, &slot.domain, &slot.kind, slot.layers());
+        table.hear(ClockTime(0), entry);
+    }
+    (plan, table)
+}
+
+pub fn key_of(table: &UpstreamTable, id: &str) -> UpstreamKey {
+    let mut all = table.iter();
+    all.find(|(_, record)| record.entry.id == id)
+        .map(|(key, _)| key)
+        .unwrap()
+}
+
+/// A replica of a domain that holds part of its chain, by the plan.
+pub fn main_ids(plan: &PlacementPlan, domain: &str) -> Vec<String> {
+    let main = plan
+        .slots
+        .iter()
+        .filter(|slot| !slot.spare && slot.domain == domain);
+    main.map(|slot| slot.id.clone()).collect()
+}
--- /dev/null
+++ b/tests/gateway/main.rs
@@ -0,0 +1,16 @@
+//! Decisions of the gateway, without a network.
+
+mod adapter;
+mod attempt;
+mod budget;
+mod catalog;
+mod chain;
+mod duty;
+mod event_stream;
+mod fixture;
+mod freshness;
+mod peer;
+mod plan;
+mod repair;
+mod state;
+mod upstream;
--- /dev/null
+++ b/tests/gateway/plan.rs
@@ -0,0 +1,103 @@
+//! The plan: every layer once a copy, within each card's memory, for whatever cards there are.
+
+use lynxcart::gateway::plan::{plan_service, PlacementPlan, PlanCard, REQUESTS_LEAST};
+use proptest::prelude::*;
+
+use crate::fixture::{cards, engine, DOMAINS};
+
+fn check_memory(plan: &PlacementPlan) {
+    let engine = engine();
+    for slot in &plan.slots {
+        let kind = engine.kind(&slot.kind).unwrap();
+        let used = f64::from(slot.layers().len()) * engine.layer_mb;
+        assert!(used <= kind.memory_mb, "{slot:?} needs {used} MB");
+        assert!(slot.to <= engine.layers, "{slot:?}");
+        assert!(!slot.layers().is_empty(), "{slot:?}");
+    }
+    let mut ids: Vec<&str> = plan.slots.iter().map(|slot| slot.id.as_str()).collect();
+    ids.sort_unstable();
+    ids.dedup();
+    assert_eq!(ids.len(), plan.slots.len(), "a card has two slots");
+}
+
+/// The main slots of a domain hold layers 0 to 80 once and in order.
+fn check_copy(plan: &PlacementPlan, domain: &str) {
+    let mut main: Vec<_> = plan
+        .slots
+        .iter()
+        .filter(|s| !s.spare && s.domain == domain)
+        .collect();
+    main.sort_by_key(|slot| slot.from);
+    let mut next = 0;
+    for slot in main {
+        assert_eq!(slot.from, next, "domain {domain}");
+        next = slot.to;
+    }
+    assert_eq!(next, engine().layers, "domain {domain}");
+}
+
+#[test]
+fn each_domain_of_the_users_fleet_holds_a_copy_with_room() {
+    let engine = engine();
+    let plan = plan_service(&engine, &cards());
+    check_memory(&plan);
+    for domain in DOMAINS {
+        check_copy(&plan, domain);
+    }
+    let usual = f64::from(engine.usual_prompt + engine.usual_answer);
+    for slot in plan.slots.iter().filter(|slot| !slot.spare) {
+        let kind = engine.kind(&slot.kind).unwrap();
+        let tokens = engine.room(kind, slot.layers().len()) / f64::from(slot.layers().len());
+        assert!(
+            tokens >= REQUESTS_LEAST * usual,
+            "{slot:?} has room for {tokens} tokens"
+        );
+    }
+    assert_eq!(plan.slots.len(), cards().len(), "a card stays empty");
+}
+
+#[test]
+fn domains_without_enough_cards_pool_them() {
+    let few: Vec<PlanCard> = cards()
+        .into_iter()
+        .filter(|card| match card.domain.as_str() {
+            "a" => card.kind == "a100",
+            "b" => card.kind == "a100",
+            _ => card.kind == "v100",
+        })
+        .collect();
+    let plan = plan_service(&engine(), &few);
+    check_memory(&plan);
+    let mut covered = vec![0; 80];
+    for slot in plan.slots.iter().filter(|slot| !slot.spare) {
+        for layer in slot.from..slot.to {
+            covered[layer as usize] += 1;
+        }
+    }
+    assert!(covered.iter().all(|count| *count == 1), "{covered:?}");
+}
+
+proptest! {
+    #[test]
+    fn any_cards_give_a_sound_plan_or_none(kept in proptest::collection::vec(any::<bool>(), 38)) {
+        let some: Vec<PlanCard> = cards()
+            .into_iter()
+            .zip(kept)
+            .filter_map(|(card, kept)| kept.then_some(card))
+            .collect();
+        let plan = plan_service(&engine(), &some);
+        check_memory(&plan);
+        let domains = DOMAINS.iter().filter(|domain| {
+            plan.slots.iter().any(|slot| !slot.spare && slot.domain == **domain)
+        });
+        let pooled = domains.clone().any(|domain| {
+            let main = plan.slots.iter().filter(|slot| !slot.spare && slot.domain == *domain);
+            main.map(|slot| slot.layers().len()).sum::<u32>() != 80
+        });
+        if !pooled {
+            for domain in domains {
+                check_copy(&plan, domain);
+            }
+        }
+    }
+}
