Go round slow replicas by their own word, and keep those that lose some answers

Change: three failed exchanges in a row make a suspect, one does not; the part that fails weighs in the choice. The holder of the duty asks all replicas for their pace every 2 s and tells the others; the choice counts it. The duty's lease is 3 s, and a restarted process takes over what its former start left. A replica that holds layers is first ordered as one that has taken one order.

--- a/src/gateway/chain.rs
+++ b/src/gateway/chain.rs
@@ -11,6 +11,8 @@
 const COST_NOISE: f64 = 0.06;
 /// Part of a replica's KV memory beyond which it takes nothing new from here.
 const FILL_MOST: f64 = 0.97;
+/// Factor on the part of exchanges that failed at a replica of late.
+const TROUBLE_FACTOR: f64 = 2.0;
 /// Factor on the time that a request holds a pipe between failure domains: what others wait for
 /// it.
 const PIPE_FACTOR: f64 = 24.0;
@@ -35,6 +37,8 @@
 /// What a request needs of a chain.
 #[derive(Clone, Copy, Debug)]
 pub struct ChainNeed<'a> {
+    /// The time.
+    pub now: ClockTime,
     /// Name of the service.
     pub service: &'a str,
     /// Its engines.
@@ -85,7 +89,6 @@
 /// The chain with the least expected time for a request, or none if no chain has room.
 pub fn choose_chain(
     table: &UpstreamTable,
-    now: ClockTime,
     need: &ChainNeed<'_>,
     rng: &mut impl Rng,
 ) -> Option<Vec<ChainHop>> {
@@ -93,7 +96,7 @@
     for (key, record) in table.iter() {
         let first = need.first.is_some_and(|hop| hop.upstream == key);
         let fits = record.entry.service == need.service && !record.entry.layers.is_empty();
-        if fits && (first || (record.usable(now) && !need.avoid.contains(&key))) {
+        if fits && (first || (record.usable(need.now) && !need.avoid.contains(&key))) {
             let noise = 1.0 + COST_NOISE * rng.random::<f64>();
             holders.push((key, record, noise));
         }
@@ -230,11 +233,12 @@
     let running = f64::from(record.in_flight) + others.in_flight;
     let context = running * (need.prompt + need.answer / 2.0) / 1_000.0;
     let step = engine.step_ms + engine.per_request_ms * running + engine.context_ms * context;
-    let step = step * kind.step_factor * share;
-    let read = need.prompt / engine.read_per_s * 1_000.0 * kind.read_factor * share;
+    let pace = record.pace(need.now);
+    let step = step * kind.step_factor * share * pace;
+    let read = need.prompt / engine.read_per_s * 1_000.0 * kind.read_factor * share * pace;
     // Passes are waited for, the longer the fuller the replica is.
     let wait = 1.0 / (1.0 - fill);
-    Some((need.answer * step + read) * wait)
+    Some((need.answer * step + read) * wait * (1.0 + record.trouble * TROUBLE_FACTOR))
 }
 
 /// Expected time that a request spends between two replicas, milliseconds; none if the pipe
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -10,13 +10,13 @@
 use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamTable};
 
 /// Time that the duty's lease lives without renewal, milliseconds.
-pub const LEASE_MS: u64 = 4_000;
+pub const LEASE_MS: u64 = 3_000;
 /// Time between two renewals, milliseconds.
-pub const RENEW_MS: u64 = 1_000;
+pub const RENEW_MS: u64 = 700;
 /// Part of the lease at its end that is not relied on, milliseconds.
-const LEASE_MARGIN_MS: u64 = 1_000;
+const LEASE_MARGIN_MS: u64 = 700;
 /// Time between two tries to take the duty, milliseconds.
-const CLAIM_MS: u64 = 1_500;
+const CLAIM_MS: u64 = 1_000;
 /// Time without a new replica after which the first plan is made, milliseconds.
 const SETTLED_MS: u64 = 1_300;
 /// Longest wait for replicas to register before the first plan, milliseconds.
@@ -411,9 +411,10 @@
             layers,
         } = step;
         let record = table.get(key);
-        // A replica that this holder never ordered is taken to be as it started; if it is not,
-        // it refuses and tells its count.
-        let sequence = self.sequences.get(&key).copied().unwrap_or(0);
+        // A replica that this holder never ordered has mostly taken one order if it holds
+        // something, and else none; if not, it refuses and its count is asked.
+        let likely = u64::from(!record.entry.layers.is_empty());
+        let sequence = self.sequences.get(&key).copied().unwrap_or(likely);
         let share = f64::from(layers.len()) / f64::from(engine.layers.max(1));
         // A whole number of milliseconds is exact enough.
         let load_ms = (engine.load_ms * share) as u64;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -29,7 +29,7 @@
     AnswerMeta, PassOn, RequestMeta,
 };
 use crate::platform::order::{
-    decode_stalled, fault_address, repath_request, report_request, StalledRequest,
+    decode_report, fault_address, repath_request, report_request, ReplicaReport, StalledRequest,
 };
 use crate::verdict::{RefusalReason, RequestRefusal, RunVerdict};
 use crate::web::problem_json;
@@ -389,7 +389,7 @@
             if !sent {
                 return Err(failed(TryFailure::NotSent));
             }
-            gateway.state().upstreams.suspect(gateway.clock.now(), at);
+            gateway.state().upstreams.fail(gateway.clock.now(), at);
             return Err(failed(TryFailure::Lost));
         }
         None => return Err(failed(TryFailure::Lost)),
@@ -450,6 +450,7 @@
             flight.target.id,
             status.as_u16()
         );
+        gateway.state().upstreams.fail(gateway.clock.now(), at);
         return Err(FailedTry {
             failure: TryFailure::Lost,
             at,
@@ -667,24 +668,11 @@
     if let Some(report) = kept.filter(|report| asked.since(report.asked) < REPORT_MS) {
         return Some(report.stalled);
     }
-    let (status, body) = ask(gateway, report_request(target.address), ASK_MS).await?;
-    if status != 200 {
-        spdlog::warn!(
-            "event=report_refused upstream={} status={status}",
-            target.id
-        );
-        return None;
-    }
-    let stalled = match decode_stalled(&body) {
-        Ok(stalled) => Arc::new(stalled),
-        Err(error) => {
-            spdlog::warn!(
-                "event=report_unread upstream={} error=\"{error:#}\"",
-                target.id
-            );
-            Arc::default()
-        }
-    };
+    let stalled = Arc::new(
+        ask_report(gateway, target.address, &target.id)
+            .await?
+            .stalled,
+    );
     let report = StalledReport {
         asked,
         stalled: stalled.clone(),
@@ -731,6 +719,22 @@
     }
 }
 
+/// Asks a replica for its report.
+pub async fn ask_report(gateway: &Gateway, address: SocketAddr, id: &str) -> Option<ReplicaReport> {
+    let (status, body) = ask(gateway, report_request(address), ASK_MS).await?;
+    if status != 200 {
+        spdlog::warn!("event=report_refused upstream={id} status={status}");
+        return None;
+    }
+    match decode_report(&body) {
+        Ok(report) => Some(report),
+        Err(error) => {
+            spdlog::warn!("event=report_unread upstream={id} error=\"{error:#}\"");
+            None
+        }
+    }
+}
+
 /// Makes a short call to a replica.
 async fn ask(
     gateway: &Gateway,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -7,7 +7,7 @@
 use eyre::WrapErr;
 use tokio::net::UdpSocket;
 
-use crate::gateway::peer::LOAD_MS;
+use crate::gateway::peer::{PeerNews, LOAD_MS};
 use crate::gateway::run::Gateway;
 use crate::wire::gen::envelope::Body;
 use crate::wire::gen::Envelope;
@@ -96,13 +96,25 @@
     };
     let now = gateway.clock.now();
     let state = &mut *gateway.state();
-    for (key, ago_ms) in state
+    for news in state
         .peers
         .hear(now, &envelope.sender, &load, &state.upstreams)
     {
-        if state.upstreams.hear_named(now, key, ago_ms) {
-            let id = &state.upstreams.get(key).entry.id;
-            spdlog::info!("event=upstream_named_dead id={id} told_by={from} ago_ms={ago_ms}");
+        match news {
+            PeerNews::NamedDead(key, ago_ms) => {
+                if state.upstreams.hear_named(now, key, ago_ms) {
+                    let id = &state.upstreams.get(key).entry.id;
+                    spdlog::info!(
+                        "event=upstream_named_dead id={id} told_by={from} ago_ms={ago_ms}"
+                    );
+                }
+            }
+            PeerNews::Pace(key, pace) => {
+                if state.upstreams.hear_pace(now, key, pace, false) {
+                    let id = &state.upstreams.get(key).entry.id;
+                    spdlog::info!("event=upstream_pace id={id} pace={pace} told_by={from}");
+                }
+            }
         }
     }
 }
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -23,6 +23,15 @@
     pub reserved: f64,
 }
 
+/// What a peer says of a replica itself.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum PeerNews {
+    /// An engine named it as dead, so many milliseconds ago.
+    NamedDead(UpstreamKey, u64),
+    /// Its work takes so many times as long as usual.
+    Pace(UpstreamKey, f64),
+}
+
 #[derive(Debug)]
 struct PeerShare {
     share: UpstreamShare,
@@ -62,16 +71,15 @@
         self.sums.get(&key).copied().unwrap_or_default()
     }
 
-    /// Takes a peer's word. Replicas that an engine named as dead to the peer are returned, each
-    /// with how long ago that was, milliseconds.
+    /// Takes a peer's word. What it says of replicas themselves is returned.
     pub fn hear(
         &mut self,
         now: ClockTime,
         peer: &str,
         load: &GatewayLoad,
         table: &UpstreamTable,
-    ) -> Vec<(UpstreamKey, u64)> {
-        let mut suspects = Vec::new();
+    ) -> Vec<PeerNews> {
+        let mut news = Vec::new();
         for load in &load.loads {
             let found = load
                 .address
@@ -83,7 +91,12 @@
                 continue;
             };
             if load.named_ago > 0 {
-                suspects.push((key, u64::from(load.named_ago - 1)));
+                let ago_ms = u64::from(load.named_ago - 1);
+                news.push(PeerNews::NamedDead(key, ago_ms));
+            }
+            if load.pace_milli > 0 {
+                let pace = f64::from(load.pace_milli) / 1_000.0;
+                news.push(PeerNews::Pace(key, pace));
             }
             let share = UpstreamShare {
                 in_flight: f64::from(load.in_flight),
@@ -98,7 +111,7 @@
                 .insert((peer.to_owned(), key), (pipe.in_flight, now));
         }
         self.sum(now);
-        suspects
+        news
     }
 
     /// Requests of all gateways whose chains cross a pipe, each crossing counted.
@@ -155,7 +168,8 @@
         let mut told = Vec::new();
         for (key, record) in table.iter() {
             let named_ago = record.named_ago(now);
-            let busy = record.in_flight > 0 || named_ago.is_some();
+            let pace = record.own_pace(now);
+            let busy = record.in_flight > 0 || named_ago.is_some() || pace.is_some();
             if !busy && !self.told.contains(&key) {
                 continue;
             }
@@ -167,6 +181,7 @@
                 born: record.entry.born,
                 in_flight: record.in_flight,
                 reserved: record.reserved as u64,
+                pace_milli: pace.map_or(0, |pace| (pace * 1_000.0) as u32),
                 named_ago: named_ago.map_or(0, |ago| u32::try_from(ago + 1).unwrap_or(u32::MAX)),
             });
         }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -110,7 +110,12 @@
                     log_end(&self.gateway, &self.context, at, 200);
                     return None;
                 }
-                Ok(Some(Err(error))) => error.to_string(),
+                Ok(Some(Err(error))) => {
+                    let at = self.flight.target.upstream;
+                    let now = self.gateway.clock.now();
+                    self.gateway.state().upstreams.fail(now, at);
+                    error.to_string()
+                }
                 Err(_) => {
                     self.silent_ms += wait;
                     self.look_after_silence().await;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -31,6 +31,8 @@
 const LEAVE_MS: u64 = 2_500;
 /// Time before the bound of a planned stop at which it ends, milliseconds.
 const STOP_MARGIN_MS: u64 = 400;
+/// Time between two lines on each failure domain in the log, milliseconds.
+const DOMAIN_LOG_MS: u64 = 2_000;
 /// Time between two looks whether all requests have ended, milliseconds.
 const STOP_LOOK_MS: u64 = 50;
 
@@ -137,6 +139,7 @@
     serve_ready(&gateway);
     gossip::start(gateway.clone()).await?;
     let duty = sync::start(gateway.clone(), store);
+    tokio::spawn(log_domains(gateway.clone()));
     let _ = signalled.wait_for(|count| *count > 0).await;
     spdlog::info!(
         "event=stop_asked in_flight={}",
@@ -165,6 +168,19 @@
     }
 }
 
+/// Logs how each failure domain does.
+async fn log_domains(gateway: Arc<Gateway>) {
+    let mut tick = tokio::time::interval(Duration::from_millis(DOMAIN_LOG_MS));
+    loop {
+        tick.tick().await;
+        let now = gateway.clock.now();
+        let lines = gateway.state().domain_lines(now);
+        for line in lines {
+            spdlog::info!("event=domain {line}");
+        }
+    }
+}
+
 fn serve_ready(gateway: &Arc<Gateway>) {
     let asked = gateway.clone();
     let ready = WebRoute::new(move |_| {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! The decisions of a gateway about requests: who may ask, where a request goes, and whether it
 //! may be sent again.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 use rand::{Rng, SeedableRng};
@@ -153,28 +153,19 @@
         }
         let mut services = self.routes.config().services.iter();
         services.all(|rule| match &rule.engine {
-            Some(engine) => self.covered(now, &rule.name, engine.layers),
+            Some(engine) => self.covered(&rule.name, engine.layers),
             None => true,
         }) || self.upstreams.iter().count() == 0
     }
 
     /// Whether every layer of a service is held by some replica.
-    fn covered(&self, _now: ClockTime, service: &str, layers: u32) -> bool {
+    fn covered(&self, service: &str, layers: u32) -> bool {
         let living = self.upstreams.iter().map(|(_, record)| record);
-        let mut ranges: Vec<LayerRange> = living
+        let ranges: Vec<LayerRange> = living
             .filter(|record| record.entry.service == service && record.listed())
             .map(|record| record.entry.layers)
-            .filter(|range| !range.is_empty())
             .collect();
-        ranges.sort_unstable();
-        let mut next = 0;
-        for range in ranges {
-            if range.from > next {
-                return false;
-            }
-            next = next.max(range.to);
-        }
-        next >= layers
+        held_layers(&ranges, layers) == layers
     }
 
     /// Decides whether a request may be served.
@@ -274,6 +265,7 @@
         let chain = running.map_or(&[][..], |target| &target.chain);
         let held: Vec<UpstreamKey> = chain.iter().map(|hop| hop.upstream).collect();
         let need = ChainNeed {
+            now,
             service: &call.service,
             engine,
             prompt: call.prompt,
@@ -285,7 +277,7 @@
             must: running.is_some(),
             peers: &self.peers,
         };
-        let chain = choose_chain(&self.upstreams, now, &need, &mut self.rng).ok_or_else(|| {
+        let chain = choose_chain(&self.upstreams, &need, &mut self.rng).ok_or_else(|| {
             let detail = "no chain of replicas over all layers has room";
             RequestRefusal::not_run(RefusalReason::NoUpstream, detail).retry_after(BUSY_RETRY_MS)
         })?;
@@ -311,7 +303,7 @@
             let load = f64::from(record.in_flight) / f64::from(record.entry.slots.max(1));
             let away = record.entry.domain != self.setup.domain;
             let noise = LOAD_NOISE * self.rng.random::<f64>();
-            let load = load + if away { AWAY_LOAD } else { 0.0 } + noise;
+            let load = load + if away { AWAY_LOAD } else { 0.0 } + noise + record.trouble;
             // A suspect is better than nobody, and so is one that was tried.
             let rank = (avoid.contains(&key), !record.usable(now), load);
             if best.is_none_or(|(least, _)| rank < least) {
@@ -359,6 +351,54 @@
         }
     }
 
+    /// How each failure domain does, a line of key=value pairs each: layers that nobody usable
+    /// holds, and the replica with the least room.
+    pub fn domain_lines(&self, now: ClockTime) -> Vec<String> {
+        let mut lines = Vec::new();
+        for rule in &self.routes.config().services {
+            let Some(engine) = &rule.engine else {
+                continue;
+            };
+            let mut domains: BTreeMap<&str, DomainSummary> = BTreeMap::new();
+            for (key, record) in self.upstreams.iter() {
+                let entry = &record.entry;
+                let Some(kind) = engine.kind(&entry.kind) else {
+                    continue;
+                };
+                if entry.service != rule.name {
+                    continue;
+                }
+                let summary = domains.entry(&entry.domain).or_default();
+                summary.cards += 1;
+                if !record.usable(now) || entry.layers.is_empty() {
+                    continue;
+                }
+                summary.ranges.push(entry.layers);
+                let others = self.peers.others(key);
+                let room = engine.room(kind, entry.layers.len()).max(1.0);
+                let fill = (record.reserved + others.reserved) / room;
+                if fill >= summary.fill {
+                    summary.fill = fill;
+                    summary.fullest = format!("{}:{}", entry.id, entry.layers);
+                    summary.in_flight = f64::from(record.in_flight) + others.in_flight;
+                }
+            }
+            for (domain, summary) in domains {
+                lines.push(format!(
+                    "service={} domain={domain} cards={} usable={} unheld={} fullest={} fill={:.2} in_flight={}",
+                    rule.name,
+                    summary.cards,
+                    summary.ranges.len(),
+                    engine.layers - held_layers(&summary.ranges, engine.layers),
+                    summary.fullest,
+                    summary.fill,
+                    summary.in_flight
+                ));
+            }
+        }
+        lines
+    }
+
     /// Gives back what a target held.
     pub fn release(&mut self, target: &SendTarget) {
         for (key, amount) in &target.reserved {
@@ -368,6 +408,26 @@
     }
 }
 
+/// What is told of one failure domain.
+#[derive(Debug, Default)]
+struct DomainSummary {
+    cards: u32,
+    ranges: Vec<LayerRange>,
+    fill: f64,
+    fullest: String,
+    in_flight: f64,
+}
+
+/// How many of the first `layers` layers some range holds.
+fn held_layers(ranges: &[LayerRange], layers: u32) -> u32 {
+    let held = |layer: &u32| {
+        ranges
+            .iter()
+            .any(|range| range.from <= *layer && *layer < range.to)
+    };
+    u32::try_from((0..layers).filter(held).count()).unwrap_or(layers)
+}
+
 fn miss_refusal(miss: RouteMiss) -> RequestRefusal {
     match miss {
         RouteMiss::NoConfig => {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -10,11 +10,13 @@
 use crate::clock::ClockTime;
 use crate::fetch;
 use crate::gateway::duty::{DutyInput, DutyOutput, OrderReply, PlaceDuty, PlaceOrder, LEASE_MS};
+use crate::gateway::forward::ask_report;
 use crate::gateway::plan::PlacementPlan;
 use crate::gateway::run::Gateway;
+use crate::gateway::upstream::UpstreamKey;
 use crate::platform::kv::{KvStore, StoreChange, WatchAnswer};
 use crate::platform::manifest::decode_config;
-use crate::platform::order::{decode_sequence, order_reply, place_request, report_request};
+use crate::platform::order::{order_reply, place_request};
 use crate::platform::registry::{decode_entry, entry_id};
 use crate::platform::{CONFIG_KEY, DUTY_KEY, GATEWAY_PREFIX, PLAN_KEY, REGISTRY_PREFIX};
 use crate::store::{
@@ -48,6 +50,10 @@
 const GATEWAY_LEASE_S: i64 = 10;
 /// Time between two renewals of a gateway's entry, milliseconds.
 const GATEWAY_RENEW_MS: u64 = 3_000;
+/// Time between two rounds of questions for the pace of all replicas, milliseconds.
+const PACE_ASK_MS: u64 = 2_000;
+/// Time over which the questions of a round are spread, milliseconds.
+const PACE_SPREAD_MS: u64 = 1_500;
 /// Time that an order may take to be answered, milliseconds.
 const ORDER_MS: u64 = 600;
 
@@ -488,6 +494,7 @@
     let mut duty = PlaceDuty::new(gateway.clock.now() + spread);
     let (inputs, mut next) = mpsc::channel(256);
     let mut tick = tokio::time::interval(Duration::from_millis(DUTY_TICK_MS));
+    let mut asked_at = gateway.clock.now();
     loop {
         let input = tokio::select! {
             input = next.recv() => match input {
@@ -511,6 +518,11 @@
             let now = gateway.clock.now();
             duty.handle(now, input, state.routes.config(), &state.upstreams)
         };
+        let now = gateway.clock.now();
+        if duty.holds(now) && now.since(asked_at) >= PACE_ASK_MS {
+            asked_at = now;
+            tokio::spawn(ask_paces(gateway.clone()));
+        }
         for output in outputs {
             if let DutyOutput::Note(note) = output {
                 spdlog::info!("event=duty {note}");
@@ -527,6 +539,37 @@
     }
 }
 
+/// Asks every replica that holds layers for its pace, one after the other.
+async fn ask_paces(gateway: Arc<Gateway>) {
+    let replicas: Vec<(UpstreamKey, SocketAddr, String)> = {
+        let state = gateway.state();
+        let now = gateway.clock.now();
+        let holders = state.upstreams.iter();
+        holders
+            .filter(|(_, record)| record.usable(now) && !record.entry.layers.is_empty())
+            .map(|(key, record)| (key, record.entry.address, record.entry.id.clone()))
+            .collect()
+    };
+    let count = u64::try_from(replicas.len()).unwrap_or(u64::MAX).max(1);
+    for (key, address, id) in replicas {
+        tokio::time::sleep(Duration::from_millis(PACE_SPREAD_MS / count)).await;
+        let Some(report) = ask_report(&gateway, address, &id).await else {
+            continue;
+        };
+        let now = gateway.clock.now();
+        if gateway
+            .state()
+            .upstreams
+            .hear_pace(now, key, report.pace, true)
+        {
+            spdlog::info!(
+                "event=upstream_pace id={id} pace={} told_by={id}",
+                report.pace
+            );
+        }
+    }
+}
+
 /// Carries out what the duty wants. Returns what came of it.
 async fn carry_out(gateway: &Gateway, store: &KvStore, output: DutyOutput) -> Option<DutyInput> {
     let asked = gateway.clock.now();
@@ -585,26 +628,38 @@
     spdlog::warn!("event=store_call_failed what={what} result={result:?}");
 }
 
+/// Writes the duty's key under a lease: if it does not exist, or if it is what an earlier start
+/// of this VM's process left behind.
 async fn claim(gateway: &Gateway, store: &KvStore, lease: i64) -> Option<u64> {
-    let call = PlatformCall::Txn {
-        compares: vec![PlatformCompare::ModRevision(DUTY_KEY.to_owned(), 0)],
-        writes: vec![PlatformWrite::Put {
-            key: DUTY_KEY.to_owned(),
-            value: gateway.config.name.clone().into_bytes(),
-            lease,
-        }],
-        reads: Vec::new(),
-    };
-    match store.call(call).await {
-        Ok(PlatformAnswer::Txn {
-            succeeded: true,
-            revision,
-            ..
-        }) => Some(revision),
-        Ok(PlatformAnswer::Txn { .. }) => None,
-        other => {
-            log_unexpected("claim", &other);
-            None
+    let mut known = 0;
+    loop {
+        let call = PlatformCall::Txn {
+            compares: vec![PlatformCompare::ModRevision(DUTY_KEY.to_owned(), known)],
+            writes: vec![PlatformWrite::Put {
+                key: DUTY_KEY.to_owned(),
+                value: gateway.config.name.clone().into_bytes(),
+                lease,
+            }],
+            reads: Vec::new(),
+        };
+        match store.call(call).await {
+            Ok(PlatformAnswer::Txn {
+                succeeded: true,
+                revision,
+                ..
+            }) => return Some(revision),
+            Ok(PlatformAnswer::Txn { items, .. }) => {
+                let own = gateway.config.name.as_bytes();
+                let left = items.iter().find(|item| item.value == own);
+                match left.filter(|_| known == 0) {
+                    Some(item) => known = item.mod_revision,
+                    None => return None,
+                }
+            }
+            other => {
+                log_unexpected("claim", &other);
+                return None;
+            }
         }
     }
 }
@@ -682,7 +737,10 @@
                 spdlog::warn!("event=order_refused upstream={id} status={status} body=\"{text}\"");
             }
             match order_reply(status) {
-                OrderReply::Unfit(_) => OrderReply::Unfit(ask_sequence(gateway, address).await),
+                OrderReply::Unfit(_) => {
+                    let report = ask_report(gateway, address, &id).await;
+                    OrderReply::Unfit(report.map(|report| report.sequence))
+                }
                 reply => reply,
             }
         }
@@ -693,28 +751,3 @@
         Err(_) => OrderReply::Unanswered,
     }
 }
-
-/// Asks a replica how many orders it has taken.
-async fn ask_sequence(gateway: &Gateway, address: SocketAddr) -> Option<u64> {
-    let request = match report_request(address) {
-        Ok(request) => request,
-        Err(error) => {
-            spdlog::error!("event=question_unmade error=\"{error:#}\"");
-            return None;
-        }
-    };
-    let asked = fetch::send(&gateway.client, request);
-    match tokio::time::timeout(Duration::from_millis(ORDER_MS), asked).await {
-        Ok(Ok((200, body))) => match decode_sequence(&body) {
-            Ok(sequence) => Some(sequence),
-            Err(error) => {
-                spdlog::warn!("event=report_unread address={address} error=\"{error:#}\"");
-                None
-            }
-        },
-        other => {
-            spdlog::warn!("event=report_unanswered address={address} result={other:?}");
-            None
-        }
-    }
-}
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -9,6 +9,16 @@
 /// How long an upstream that failed is passed over, milliseconds; doubled at each failure in a
 /// row up to [`SUSPECT_MOST_MS`].
 const SUSPECT_MS: u64 = 1_000;
+/// Age up to which a replica's word of its pace counts, milliseconds.
+const PACE_MS: u64 = 6_000;
+/// Highest pace that is told apart.
+const PACE_MOST: f64 = 1_000.0;
+/// Relative change of a pace that is worth a line in the log.
+const PACE_CHANGE: f64 = 0.2;
+/// Failed exchanges in a row that make an upstream a suspect.
+const FAILURES_MOST: u32 = 3;
+/// Weight of the newest exchange in the part that failed.
+const TROUBLE_PART: f64 = 0.1;
 /// Time for which a replica that refused for want of room gets nothing new, milliseconds.
 const SHUN_MS: u64 = 250;
 /// Longest time for which a failed upstream is passed over, milliseconds.
@@ -78,6 +88,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct UpstreamKey(pub u32);
 
+/// A replica's word of its pace: how many times as long as usual its work takes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct PaceWord {
+    pace: f64,
+    at: ClockTime,
+    /// Whether this gateway asked it, and so tells the others.
+    first_hand: bool,
+}
+
 /// An engine's word that a replica is dead or cut off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct NamedDead {
@@ -104,8 +123,14 @@
     named: Option<NamedDead>,
     /// When it was last heard of.
     heard: ClockTime,
-    /// Failures in a row.
+    /// Times in a row that it became a suspect.
     failures: u32,
+    /// Failed exchanges in a row.
+    in_a_row: u32,
+    /// Its own word of its pace.
+    pace: Option<PaceWord>,
+    /// Part of the exchanges that failed of late, 0 to 1.
+    pub trouble: f64,
     /// Requests of this entry in flight there.
     pub in_flight: u32,
     /// Tokens times layers that these are expected to need.
@@ -137,6 +162,20 @@
             .filter(|ago| *ago < NAMED_MS)
     }
 
+    /// How many times as long as usual its work takes; one when that is not known.
+    pub fn pace(&self, now: ClockTime) -> f64 {
+        let word = self.pace.filter(|word| now.since(word.at) < PACE_MS);
+        word.map_or(1.0, |word| word.pace)
+    }
+
+    /// Its pace, if this gateway was told it by the replica itself of late.
+    pub fn own_pace(&self, now: ClockTime) -> Option<f64> {
+        let word = self
+            .pace
+            .filter(|word| word.first_hand && now.since(word.at) < PACE_MS);
+        word.map(|word| word.pace)
+    }
+
     /// Whether a request that is silent may be waiting for it.
     pub fn doubtful(&self, now: ClockTime) -> bool {
         !self.listed() || self.suspected(now) || now < self.shun_until
@@ -222,6 +261,9 @@
             named: None,
             heard: now,
             failures: 0,
+            in_a_row: 0,
+            trouble: 0.0,
+            pace: None,
             in_flight: 0,
             reserved: 0.0,
         });
@@ -309,15 +351,53 @@
         self.version += 1;
     }
 
+    /// A replica told its pace, to this gateway or to another. Returns whether it changed much.
+    pub fn hear_pace(
+        &mut self,
+        now: ClockTime,
+        key: UpstreamKey,
+        pace: f64,
+        first_hand: bool,
+    ) -> bool {
+        let record = &mut self.records[key.0 as usize];
+        let before = record.pace(now);
+        // An unbelievable pace must not make a replica attractive.
+        let pace = if pace.is_finite() {
+            pace.clamp(1.0, PACE_MOST)
+        } else {
+            PACE_MOST
+        };
+        record.pace = Some(PaceWord {
+            pace,
+            at: now,
+            first_hand,
+        });
+        (pace - before).abs() > before * PACE_CHANGE
+    }
+
     /// A replica of a chain refused: it had no room, or it is about to be found dead.
     pub fn shun(&mut self, now: ClockTime, key: UpstreamKey) {
         let record = &mut self.records[key.0 as usize];
         record.shun_until = record.shun_until.max(now + SHUN_MS);
     }
 
+    /// An exchange failed there. Some fail at an upstream that does well otherwise, so that only
+    /// several in a row make it a suspect.
+    pub fn fail(&mut self, now: ClockTime, key: UpstreamKey) {
+        let record = &mut self.records[key.0 as usize];
+        record.in_a_row += 1;
+        record.trouble += (1.0 - record.trouble) * TROUBLE_PART;
+        if record.in_a_row >= FAILURES_MOST {
+            self.suspect(now, key);
+        }
+    }
+
     /// Work went well there.
     pub fn praise(&mut self, key: UpstreamKey) {
-        self.records[key.0 as usize].failures = 0;
+        let record = &mut self.records[key.0 as usize];
+        record.failures = 0;
+        record.in_a_row = 0;
+        record.trouble -= record.trouble * TROUBLE_PART;
     }
 
     /// The upstream at this address is another one, or leaving by its own word.
--- a/src/platform/order.rs
+++ b/src/platform/order.rs
@@ -29,6 +29,7 @@
     stalled: Vec<RawStalled>,
     #[serde(default)]
     sequence: u64,
+    pace: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -97,28 +98,33 @@
     Ok(request.body(Full::default())?)
 }
 
-/// Reads the stalled requests out of a report.
+/// What a replica says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReplicaReport {
+    /// The requests that do not get on.
+    pub stalled: Vec<StalledRequest>,
+    /// The number of orders that it has taken.
+    pub sequence: u64,
+    /// How many times as long as usual its work takes.
+    pub pace: f64,
+}
+
+/// Reads a report.
 ///
 /// # Errors
 ///
-/// When the report is not JSON of the expected form.
-pub fn decode_stalled(body: &[u8]) -> eyre::Result<Vec<StalledRequest>> {
+/// When it is not JSON of the expected form.
+pub fn decode_report(body: &[u8]) -> eyre::Result<ReplicaReport> {
     let report: RawReport = serde_json::from_slice(body).wrap_err("could not read a report")?;
     let stalled = report.stalled.into_iter().map(|raw| StalledRequest {
         id: raw.id,
         address: raw.address.parse().ok(),
     });
-    Ok(stalled.collect())
-}
-
-/// The number of orders that a replica has taken, out of its report.
-///
-/// # Errors
-///
-/// When the report is not JSON of the expected form.
-pub fn decode_sequence(body: &[u8]) -> eyre::Result<u64> {
-    let report: RawReport = serde_json::from_slice(body).wrap_err("could not read a report")?;
-    Ok(report.sequence)
+    Ok(ReplicaReport {
+        stalled: stalled.collect(),
+        sequence: report.sequence,
+        pace: report.pace.unwrap_or(1.0),
+    })
 }
 
 /// Reads the answer to an order.
--- a/src/wire/gen.rs
+++ b/src/wire/gen.rs
@@ -472,6 +472,10 @@
     /// How long ago an engine named it to this gateway as dead, milliseconds, plus one; zero if not.
     #[prost(uint32, tag = "5")]
     pub named_ago: u32,
+    /// Time of its work as a multiple of the usual, in thousandths; zero when the gateway has not
+    /// asked it.
+    #[prost(uint32, tag = "6")]
+    pub pace_milli: u32,
 }
 /// Whether a request ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
--- a/tests/gateway/adapter.rs
+++ b/tests/gateway/adapter.rs
@@ -8,7 +8,7 @@
     answer_meta, caller_headers, request_meta, upstream_request, PassOn,
 };
 use lynxcart::platform::manifest::decode_config;
-use lynxcart::platform::order::{decode_sequence, decode_stalled, order_reply};
+use lynxcart::platform::order::{decode_report, order_reply};
 use lynxcart::platform::registry::decode_entry;
 use lynxcart::store::PlatformItem;
 
@@ -252,10 +252,12 @@
     for (status, reply) in cases {
         assert_eq!(order_reply(status), reply, "{status}");
     }
-    let report = br#"{"sequence":4,"stalled":[{"id":"9c41","address":"10.1.0.9:80"},{"id":"x"}]}"#;
-    assert_eq!(decode_sequence(report).unwrap(), 4);
-    let stalled = decode_stalled(report).unwrap();
+    let report = br#"{"sequence":4,"pace":2.5,"stalled":[{"id":"9c41","address":"10.1.0.9:80"},{"id":"x"}]}"#;
+    let report = decode_report(report).unwrap();
+    assert_eq!((report.sequence, report.pace), (4, 2.5));
+    let stalled = report.stalled;
     assert_eq!(stalled[0].address, Some("10.1.0.9:80".parse().unwrap()));
     assert_eq!((stalled[1].id.as_str(), stalled[1].address), ("x", None));
-    assert!(decode_stalled(b"no").is_err());
+    assert!(decode_report(b"no").is_err());
+    assert_eq!(decode_report(b"{}").unwrap().pace, 1.0);
 }
--- a/tests/gateway/chain.rs
+++ b/tests/gateway/chain.rs
@@ -16,6 +16,7 @@
 
 fn need<'a>(engine: &'a EngineRule, peers: &'a PeerTable) -> ChainNeed<'a> {
     ChainNeed {
+        now: NOW,
         service: SERVICE,
         engine,
         prompt: 775.0,
@@ -45,7 +46,7 @@
     let mut rng = Pcg64Mcg::seed_from_u64(1);
     // Load that three copies carry: some 60 requests each.
     for count in 0..120 {
-        let chain = choose_chain(&table, NOW, &need(&engine, &peers), &mut rng).unwrap();
+        let chain = choose_chain(&table, &need(&engine, &peers), &mut rng).unwrap();
         assert!(covers(&chain, 80));
         assert_eq!(domains(&table, &chain).len(), 1, "request {count} crosses");
         for hop in &chain {
@@ -60,7 +61,7 @@
     let (_, mut table) = placed();
     let mut rng = Pcg64Mcg::seed_from_u64(2);
     let mut admitted = 0;
-    while let Some(chain) = choose_chain(&table, NOW, &need(&engine, &peers), &mut rng) {
+    while let Some(chain) = choose_chain(&table, &need(&engine, &peers), &mut rng) {
         for hop in &chain {
             table.begin(hop.upstream, 991.0 * f64::from(hop.layers.len()));
         }
@@ -81,7 +82,7 @@
     let (engine, peers) = (engine(), PeerTable::default());
     let (plan, mut table) = placed();
     let mut rng = Pcg64Mcg::seed_from_u64(3);
-    let chain = choose_chain(&table, NOW, &need(&engine, &peers), &mut rng).unwrap();
+    let chain = choose_chain(&table, &need(&engine, &peers), &mut rng).unwrap();
     let dead = chain[chain.len() / 2].upstream;
     table.name_dead(NOW, dead);
     let held: Vec<UpstreamKey> = chain.iter().map(|hop| hop.upstream).collect();
@@ -92,7 +93,7 @@
         must: true,
         ..need(&engine, &peers)
     };
-    let other = choose_chain(&table, NOW, &need, &mut rng).unwrap();
+    let other = choose_chain(&table, &need, &mut rng).unwrap();
     assert!(covers(&other, 80));
     assert_eq!(other[0], chain[0]);
     assert!(other.iter().all(|hop| hop.upstream != dead));
@@ -121,7 +122,7 @@
             domain,
             ..need(&engine, &peers)
         };
-        let chain = choose_chain(&table, NOW, &need, &mut rng).unwrap();
+        let chain = choose_chain(&table, &need, &mut rng).unwrap();
         assert_eq!(domains(&table, &chain), ["a"]);
     }
 }
@@ -138,7 +139,7 @@
         peers.hear(NOW, "10.9.9.9:1", message, &table);
     }
     let mut rng = Pcg64Mcg::seed_from_u64(5);
-    let chain = choose_chain(&table, NOW, &need(&engine, &peers), &mut rng).unwrap();
+    let chain = choose_chain(&table, &need(&engine, &peers), &mut rng).unwrap();
     assert!(
         !domains(&table, &chain).contains(&String::from("a")),
         "went where peers are"
@@ -159,6 +160,24 @@
     }
 }
 
+#[test]
+fn a_replica_that_says_it_is_slow_is_gone_round() {
+    let (engine, peers) = (engine(), PeerTable::default());
+    let (plan, mut table) = placed();
+    let slow = key_of(&table, &main_ids(&plan, "b").remove(1));
+    let mut rng = Pcg64Mcg::seed_from_u64(6);
+    assert!(table.hear_pace(NOW, slow, 8.0, true), "it is news");
+    for _ in 0..50 {
+        let chain = choose_chain(&table, &need(&engine, &peers), &mut rng).unwrap();
+        assert!(chain.iter().all(|hop| hop.upstream != slow));
+        for hop in &chain {
+            table.begin(hop.upstream, 991.0 * f64::from(hop.layers.len()));
+        }
+    }
+    assert!(table.hear_pace(NOW, slow, 1.0, true), "it is well again");
+    assert_eq!(table.get(slow).pace(NOW), 1.0);
+}
+
 fn table_with_load(table: &UpstreamTable, domain: &str) -> UpstreamTable {
     let mut loaded = UpstreamTable::default();
     for (_, record) in table.iter() {
@@ -190,7 +209,7 @@
         }
         let need = ChainNeed { must, ..need(&engine, &peers) };
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
-        if let Some(chain) = choose_chain(&table, NOW, &need, &mut rng) {
+        if let Some(chain) = choose_chain(&table, &need, &mut rng) {
             prop_assert!(covers(&chain, 80));
             for hop in chain {
                 let held = table.get(hop.upstream).entry.layers;
--- a/tests/gateway/duty.rs
+++ b/tests/gateway/duty.rs
@@ -125,6 +125,7 @@
     table.name_dead(start, lost);
     let (outputs, now) = next_orders(&mut duty, &table, start);
     let first = orders(&outputs)[0].clone();
+    assert_eq!(first.sequence, 1, "it holds something by one order");
     let unfit = DutyInput::Ordered(first.upstream, OrderReply::Unfit(Some(3)));
     duty.handle(now, unfit, &config(), &table);
     table.name_dead(now + 900, lost);
--- a/tests/gateway/peer.rs
+++ b/tests/gateway/peer.rs
@@ -1,7 +1,7 @@
 //! What gateways tell each other.
 
 use lynxcart::clock::ClockTime;
-use lynxcart::gateway::peer::{PeerTable, PipeKey};
+use lynxcart::gateway::peer::{PeerNews, PeerTable, PipeKey};
 use lynxcart::wire::gen::{GatewayLoad, UpstreamLoad};
 
 use crate::fixture::{key_of, placed};
@@ -17,7 +17,10 @@
     let (_, mut theirs) = placed();
     let mut peers = PeerTable::default();
     for message in PeerTable::default().tell(NOW + 100, &mine) {
-        for (key, ago_ms) in peers.hear(NOW + 100, PEER, &message, &theirs) {
+        for news in peers.hear(NOW + 100, PEER, &message, &theirs) {
+            let PeerNews::NamedDead(key, ago_ms) = news else {
+                panic!("{news:?}");
+            };
             assert!(theirs.hear_named(NOW + 100, key, ago_ms), "it is news");
             assert!(
                 !theirs.hear_named(NOW + 100, key, ago_ms),
@@ -46,13 +49,17 @@
             in_flight: 7,
             reserved: 1_000,
             named_ago: 1,
+            pace_milli: 0,
         }],
         pipes: Vec::new(),
     };
     let mut peers = PeerTable::default();
     assert_eq!(peers.hear(NOW, PEER, &load(99), &table), []);
     assert_eq!(peers.others(key).in_flight, 0.0);
-    assert_eq!(peers.hear(NOW, PEER, &load(1), &table), [(key, 0)]);
+    assert_eq!(
+        peers.hear(NOW, PEER, &load(1), &table),
+        [PeerNews::NamedDead(key, 0)]
+    );
     assert_eq!(peers.others(key).in_flight, 7.0);
     peers.sum(NOW + 2_000);
     assert_eq!(peers.others(key).in_flight, 0.0);
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -86,3 +86,23 @@
     table.suspect(NOW + 4_000, key);
     assert!(table.get(key).usable(NOW + 5_000));
 }
+
+#[test]
+fn an_upstream_that_loses_some_answers_stays_and_one_that_loses_all_goes() {
+    let mut table = UpstreamTable::default();
+    table.hear(NOW, plain("x", 1));
+    let key = table.at("10.0.0.2:80".parse().unwrap()).unwrap();
+    // One answer in ten is lost, as a replica does on the users' days.
+    for count in 0..200 {
+        match count % 10 {
+            0 => table.fail(NOW, key),
+            _ => table.praise(key),
+        }
+        assert!(table.get(key).usable(NOW), "passed over after {count}");
+    }
+    assert!(table.get(key).trouble > 0.02 && table.get(key).trouble < 0.2);
+    for _ in 0..3 {
+        table.fail(NOW, key);
+    }
+    assert!(!table.get(key).usable(NOW));
+}
