--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -155,7 +155,7 @@
         services.all(|rule| match &rule.engine {
             Some(engine) => self.covered(&rule.name, engine.layers),
             None => true,
-        }) || self.upstreams.iter().count() == 0
+        })
     }
 
     /// Whether every layer of a service is held by some replica.
--- /dev/null
+++ b/standins/src/kv.rs
@@ -0,0 +1,288 @@
+//! The users' store: keys with revisions, leases, transactions and watches over HTTP/JSON.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use base64::engine::general_purpose::STANDARD as BASE64;
+use base64::Engine;
+use http::{Method, Request};
+use hyper::body::Incoming;
+use serde_json::{json, Value};
+use tokio::sync::Notify;
+
+use crate::server::{json as answer_json, read_body, serve, text, ServerResponse};
+
+#[derive(Clone, Debug)]
+struct KvItem {
+    value: Vec<u8>,
+    revision: u64,
+    created: u64,
+    lease: i64,
+}
+
+#[derive(Debug, Default)]
+struct KvData {
+    revision: u64,
+    items: BTreeMap<String, KvItem>,
+    changes: Vec<Value>,
+    leases: HashMap<i64, (Duration, Instant)>,
+    next_lease: i64,
+    down: bool,
+}
+
+/// A store; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct KvServer {
+    data: Arc<Mutex<KvData>>,
+    changed: Arc<Notify>,
+}
+
+fn item_json(key: &str, item: &KvItem) -> Value {
+    json!({
+        "key": key, "value": BASE64.encode(&item.value), "revision": item.revision,
+        "created": item.created, "lease": item.lease,
+    })
+}
+
+impl KvData {
+    fn put(&mut self, key: &str, value: Vec<u8>, lease: i64) {
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
+        let item = KvItem {
+            value,
+            revision: self.revision,
+            created,
+            lease,
+        };
+        self.changes.push(item_json(key, &item));
+        self.items.insert(key.to_owned(), item);
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            let change = json!({"key": key, "revision": self.revision, "removed": true});
+            self.changes.push(change);
+        }
+    }
+
+    fn end_leases(&mut self) {
+        let now = Instant::now();
+        let ended: Vec<i64> = self
+            .leases
+            .iter()
+            .filter(|(_, (_, until))| now >= *until)
+            .map(|(lease, _)| *lease)
+            .collect();
+        for lease in ended {
+            self.end_lease(lease);
+        }
+    }
+
+    fn end_lease(&mut self, lease: i64) {
+        if self.leases.remove(&lease).is_none() {
+            return;
+        }
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        self.revision += 1;
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+}
+
+impl KvServer {
+    fn data(&self) -> MutexGuard<'_, KvData> {
+        self.data.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes a key as an operator or an upstream does.
+    pub fn put(&self, key: &str, value: &Value) {
+        let mut data = self.data();
+        data.revision += 1;
+        data.put(key, value.to_string().into_bytes(), 0);
+        self.changed.notify_waiters();
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        let mut data = self.data();
+        data.revision += 1;
+        data.remove(key);
+        self.changed.notify_waiters();
+    }
+
+    /// Refuses all calls, or serves them again.
+    pub fn set_down(&self, down: bool) {
+        self.data().down = down;
+        self.changed.notify_waiters();
+    }
+
+    /// Serves the store until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be listened on.
+    pub async fn run(self, address: SocketAddr) -> eyre::Result<()> {
+        serve(address, move |request| self.clone().handle(request)).await
+    }
+
+    async fn handle(self, request: Request<Incoming>) -> ServerResponse {
+        let path = request.uri().path().to_owned();
+        let query = request.uri().query().unwrap_or("").to_owned();
+        let field = |name: &str| {
+            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            let mut values = pairs.filter(|(key, _)| *key == name);
+            values
+                .next()
+                .map(|(_, value)| value.to_owned())
+                .unwrap_or_default()
+        };
+        let method = request.method().clone();
+        let body = read_body(request).await;
+        self.data().end_leases();
+        if self.data().down {
+            return text(503, "");
+        }
+        let value: Value = serde_json::from_slice(&body).unwrap_or_default();
+        match (method, path.as_str()) {
+            (Method::GET, "/api/kv-key") => self.key(&field("key")),
+            (Method::GET, "/api/kv-range") => self.range(&field("prefix"), &field("after")),
+            (Method::GET, "/api/kv-watch") => {
+                let after = field("after").parse().unwrap_or(0);
+                let wait = field("wait_ms").parse().unwrap_or(0);
+                self.watch(&field("prefix"), after, wait).await
+            }
+            (Method::POST, "/api/kv-txn") => self.txn(&value),
+            (Method::POST, "/api/kv-lease") => {
+                let mut data = self.data();
+                data.next_lease += 1;
+                let lease = data.next_lease;
+                let ttl = Duration::from_millis(value["ttl_ms"].as_u64().unwrap_or(1_000));
+                data.leases.insert(lease, (ttl, Instant::now() + ttl));
+                answer_json(&json!({"lease": lease, "ttl_ms": value["ttl_ms"]}))
+            }
+            (_, path) => self.lease(path),
+        }
+    }
+
+    fn lease(&self, path: &str) -> ServerResponse {
+        let (call, id) = path.rsplit_once('/').unwrap_or((path, ""));
+        let lease: i64 = id.parse().unwrap_or(0);
+        let mut data = self.data();
+        let Some((ttl, until)) = data.leases.get_mut(&lease) else {
+            return text(404, "");
+        };
+        if call == "/api/kv-keep" {
+            *until = Instant::now() + *ttl;
+            let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(0);
+            return answer_json(&json!({"ttl_ms": ttl_ms}));
+        }
+        data.end_lease(lease);
+        self.changed.notify_waiters();
+        answer_json(&json!({}))
+    }
+
+    fn key(&self, key: &str) -> ServerResponse {
+        let data = self.data();
+        let Some(item) = data.items.get(key) else {
+            return text(404, json!({"store_revision": data.revision}).to_string());
+        };
+        let mut answer = item_json(key, item);
+        answer["store_revision"] = data.revision.into();
+        answer_json(&answer)
+    }
+
+    fn range(&self, prefix: &str, after: &str) -> ServerResponse {
+        // Small pages, so that readers have to turn them.
+        const PAGE: usize = 3;
+        let data = self.data();
+        let mut items = data
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after)
+            .map(|(key, item)| item_json(key, item));
+        let page: Vec<Value> = items.by_ref().take(PAGE).collect();
+        let truncated = items.next().is_some();
+        answer_json(&json!({
+            "items": page, "truncated": truncated, "store_revision": data.revision,
+        }))
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> ServerResponse {
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            let changed = self.changed.notified();
+            let (events, revision, down) = {
+                let data = self.data();
+                let events: Vec<Value> = data
+                    .changes
+                    .iter()
+                    .filter(|change| change["revision"].as_u64() > Some(after))
+                    .filter(|change| {
+                        change["key"]
+                            .as_str()
+                            .is_some_and(|key| key.starts_with(prefix))
+                    })
+                    .cloned()
+                    .collect();
+                (events, data.revision, data.down)
+            };
+            if down {
+                return text(503, "");
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if !events.is_empty() || left.is_zero() {
+                return answer_json(&json!({"events": events, "store_revision": revision}));
+            }
+            // The wait is over or something has changed: both are looked at above.
+            let _ = tokio::time::timeout(left.min(Duration::from_millis(100)), changed).await;
+        }
+    }
+
+    fn txn(&self, value: &Value) -> ServerResponse {
+        let mut data = self.data();
+        let rows = |name: &str| value[name].as_array().cloned().unwrap_or_default();
+        let key = |row: &Value| row["key"].as_str().unwrap_or("").to_owned();
+        let expected = rows("expected");
+        let holds = expected.iter().all(|row| {
+            let revision = data.items.get(&key(row)).map_or(0, |item| item.revision);
+            row["revision"].as_u64() == Some(revision)
+        });
+        if !holds {
+            let items: Vec<Value> = expected
+                .iter()
+                .filter_map(|row| Some(item_json(&key(row), data.items.get(&key(row))?)))
+                .collect();
+            return text(412, json!({"items": items}).to_string());
+        }
+        let puts = rows("puts");
+        let lease = |row: &Value| row["lease"].as_i64().unwrap_or(0);
+        if puts
+            .iter()
+            .any(|row| lease(row) != 0 && !data.leases.contains_key(&lease(row)))
+        {
+            return text(404, "");
+        }
+        data.revision += 1;
+        for row in &puts {
+            let bytes = BASE64
+                .decode(row["value"].as_str().unwrap_or(""))
+                .unwrap_or_default();
+            data.put(&key(row), bytes, lease(row));
+        }
+        for row in rows("remove") {
+            data.remove(row.as_str().unwrap_or(""));
+        }
+        self.changed.notify_waiters();
+        answer_json(&json!({"revision": data.revision}))
+    }
+}
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -17,7 +18,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 
 /// A body, whole or streamed.
-pub type ServerBody = UnsyncBoxBody<Bytes, Infallible>;
+pub type ServerBody = UnsyncBoxBody<Bytes, io::Error>;
 /// An answer.
 pub type ServerResponse = Response<ServerBody>;
 
@@ -59,7 +60,11 @@
 
 /// An answer with a whole body.
 pub fn text(status: u16, body: impl Into<Bytes>) -> ServerResponse {
-    let mut response = Response::new(Full::new(body.into()).boxed_unsync());
+    let mut response = Response::new(
+        Full::new(body.into())
+            .map_err(|never| match never {})
+            .boxed_unsync(),
+    );
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::IM_A_TEAPOT);
     response
 }
@@ -81,7 +86,7 @@
     let stream = futures_util::stream::unfold(receiver, |mut receiver| async move {
         let line = receiver.recv().await?;
         let frame = Frame::data(Bytes::from(line + "\n"));
-        Some((Ok::<_, Infallible>(frame), receiver))
+        Some((Ok::<_, io::Error>(frame), receiver))
     });
     Response::new(StreamBody::new(stream).boxed_unsync())
 }
--- a/tests/gateway/fixture.rs
+++ b/tests/gateway/fixture.rs
@@ -5,12 +5,12 @@
 use lynxcart::gateway::plan::{plan_service, PlacementPlan, PlanCard};
 use lynxcart::gateway::upstream::{LayerRange, UpstreamEntry, UpstreamKey, UpstreamTable};
 
-pub const SERVICE: &str = "model";
-pub const DOMAINS: [&str; 3] = ["a", "b", "c"];
+pub(crate) const SERVICE: &str = "model";
+pub(crate) const DOMAINS: [&str; 3] = ["a", "b", "c"];
 /// Cards of each kind in each domain.
 const CARDS: [(&str, [u32; 3]); 3] = [("a100", [1, 2, 1]), ("v100", [10, 4, 6]), ("l4", [4, 4, 6])];
 
-pub fn engine() -> EngineRule {
+pub(crate) fn engine() -> EngineRule {
     let kind = |name: &str, memory_mb, step_factor, read_factor| CardKind {
         name: name.to_owned(),
         memory_mb,
@@ -42,7 +42,7 @@
     }
 }
 
-pub fn config() -> ServingConfig {
+pub(crate) fn config() -> ServingConfig {
     ServingConfig {
         version: 1,
         services: vec![ServiceRule {
@@ -54,7 +54,7 @@
     }
 }
 
-pub fn cards() -> Vec<PlanCard> {
+pub(crate) fn cards() -> Vec<PlanCard> {
     let mut cards = Vec::new();
     for (kind, counts) in CARDS {
         for (domain, count) in DOMAINS.iter().zip(counts) {
@@ -70,7 +70,13 @@
     cards
 }
 
-pub fn entry(number: u16, id: &str, domain: &str, kind: &str, layers: LayerRange) -> UpstreamEntry {
+pub(crate) fn entry(
+    number: u16,
+    id: &str,
+    domain: &str,
+    kind: &str,
+    layers: LayerRange,
+) -> UpstreamEntry {
     UpstreamEntry {
         id: id.to_owned(),
         born: 1,
@@ -88,7 +94,7 @@
 }
 
 /// A fleet that holds what the plan says.
-pub fn placed() -> (PlacementPlan, UpstreamTable) {
+pub(crate) fn placed() -> (PlacementPlan, UpstreamTable) {
     let plan = plan_service(&engine(), &cards());
     let mut table = UpstreamTable::default();
     for (number, slot) in plan.slots.iter().enumerate() {
@@ -99,7 +105,7 @@
     (plan, table)
 }
 
-pub fn key_of(table: &UpstreamTable, id: &str) -> UpstreamKey {
+pub(crate) fn key_of(table: &UpstreamTable, id: &str) -> UpstreamKey {
     let mut all = table.iter();
     all.find(|(_, record)| record.entry.id == id)
         .map(|(key, _)| key)
@@ -107,7 +113,7 @@
 }
 
 /// A replica of a domain that holds part of its chain, by the plan.
-pub fn main_ids(plan: &PlacementPlan, domain: &str) -> Vec<String> {
+pub(crate) fn main_ids(plan: &PlacementPlan, domain: &str) -> Vec<String> {
     let main = plan
         .slots
         .iter()
--- a/tests/gateway/repair.rs
+++ b/tests/gateway/repair.rs
@@ -13,7 +13,7 @@
 
 /// Layers of a domain that no living card holds once the steps are done.
 fn holes(table: &UpstreamTable, steps: &[RepairStep], domain: &str) -> Vec<u32> {
-    let mut held = vec![false; 80];
+    let mut held = [false; 80];
     for (key, record) in table.iter() {
         if record.entry.domain != domain || !record.listed() || record.named_dead(NOW) {
             continue;
--- a/tests/gateway/state.rs
+++ b/tests/gateway/state.rs
@@ -92,6 +92,7 @@
     let mut state = state();
     state.apply_config(serving());
     state.proof.renew(NOW);
+    assert!(!state.ready(NOW), "it knows no upstream yet");
     let (_, table) = placed();
     state.upstreams = table;
     assert!(state.ready(NOW));
