Wait for the placing duty by watch, for room when a stream has lost its run, and measure latencies

A stream that lost its run while the only other chain was about to be placed was broken off at once (test of a dead first replica, failed once in three runs of the tests).

Change: the duty's key is watched until it is gone. A stream that has lost its run waits up to 1.2 s for room. Histograms of the time to the first byte and to the end by kind of work. Longer pauses between questions to the store; crossings cost more.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -3,10 +3,10 @@
 
 use std::collections::HashMap;
 
-use strum::{Display, EnumString};
+use strum::{Display, EnumString, IntoStaticStr};
 
 /// What may be done with a request once it was sent to an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum WorkKind {
     /// May run more than once.
--- a/src/gateway/chain.rs
+++ b/src/gateway/chain.rs
@@ -15,7 +15,7 @@
 const TROUBLE_FACTOR: f64 = 2.0;
 /// Factor on the time that a request holds a pipe between failure domains: what others wait for
 /// it.
-const PIPE_FACTOR: f64 = 24.0;
+const PIPE_FACTOR: f64 = 40.0;
 /// Part of a pipe that requests may hold.
 const PIPE_PART: f64 = 0.35;
 /// Time that a request runs, about, milliseconds.
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -34,6 +34,8 @@
 enum DutyPhase {
     /// Another entry holds it, or nobody is known to.
     Idle { claim_at: ClockTime },
+    /// The end of another holder is waited for.
+    Awaiting,
     /// A lease is asked for.
     Granting,
     /// The duty's key is being written under the lease.
@@ -82,6 +84,8 @@
 pub enum DutyInput {
     /// Nothing but the time.
     Tick,
+    /// Whether nobody holds the duty; false when that could not be told.
+    Vacant(bool),
     /// A lease was granted, asked for at `asked`; none when the store did not.
     Granted(Option<(i64, ClockTime)>),
     /// The claim was answered: the revision of the write, or none when it failed.
@@ -97,6 +101,8 @@
 /// What the duty wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum DutyOutput {
+    /// Wait until nobody holds the duty's key.
+    Await,
     /// Ask the store for a lease of [`LEASE_MS`].
     Grant,
     /// Write the duty's key under the lease, if it does not exist.
@@ -183,6 +189,7 @@
         let mut outputs = Vec::new();
         match input {
             DutyInput::Tick => self.tick(now, &mut outputs),
+            DutyInput::Vacant(vacant) => self.vacant(now, vacant, &mut outputs),
             DutyInput::Granted(granted) => self.granted(now, granted, &mut outputs),
             DutyInput::Claimed(token) => self.claimed(now, token, &mut outputs),
             DutyInput::Renewed(alive, asked) => self.renewed(now, alive, asked, &mut outputs),
@@ -202,8 +209,8 @@
     fn tick(&mut self, now: ClockTime, outputs: &mut Vec<DutyOutput>) {
         match &mut self.phase {
             DutyPhase::Idle { claim_at } if now >= *claim_at && !self.releasing => {
-                self.phase = DutyPhase::Granting;
-                outputs.push(DutyOutput::Grant);
+                self.phase = DutyPhase::Awaiting;
+                outputs.push(DutyOutput::Await);
             }
             DutyPhase::Holding { until, .. } if now >= *until => {
                 self.step_down(now, "the lease was not renewed in time", outputs);
@@ -218,6 +225,21 @@
         }
     }
 
+    fn vacant(&mut self, now: ClockTime, vacant: bool, outputs: &mut Vec<DutyOutput>) {
+        match (self.phase, vacant) {
+            (DutyPhase::Awaiting, true) => {
+                self.phase = DutyPhase::Granting;
+                outputs.push(DutyOutput::Grant);
+            }
+            (DutyPhase::Awaiting, false) => {
+                self.phase = DutyPhase::Idle {
+                    claim_at: now + CLAIM_MS,
+                };
+            }
+            _ => {}
+        }
+    }
+
     fn granted(
         &mut self,
         now: ClockTime,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -55,6 +55,9 @@
 const WAIT_PART: f64 = 0.5;
 /// When to come back after a refusal because this VM stops, milliseconds: others serve.
 const STOPPING_RETRY_MS: u64 = 50;
+/// Time after the loss of a run for which a stream waits for room in another chain, milliseconds:
+/// less than callers bear without an event.
+const RESUME_WAIT_MS: u64 = 1_200;
 /// Time between two looks for room, milliseconds.
 const WAIT_LOOK_MS: u64 = 25;
 
@@ -241,6 +244,13 @@
                 continue;
             }
         };
+        let kind: &'static str = call.kind.into();
+        let first = gateway.clock.now().since(context.came) as f64;
+        gateway
+            .metrics
+            .first_ms
+            .with_label_values(&[kind])
+            .observe(first);
         let success = opened.response.status().is_success();
         if success && call.kind == WorkKind::Streaming {
             return relay::stream(gateway, context, ledger, opened);
@@ -263,6 +273,15 @@
     }
 }
 
+/// Where a stream that lost its run goes on.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamResume {
+    /// The last event that was passed on.
+    pub last_event: Option<u64>,
+    /// When the run was lost.
+    pub lost: ClockTime,
+}
+
 /// Why there was no answer to a try.
 #[derive(Debug)]
 pub enum TryEnd {
@@ -282,9 +301,15 @@
     context: &CallContext,
     ledger: &mut TryLedger,
     avoid: &[UpstreamKey],
-    last_event: Option<u64>,
+    resume: Option<StreamResume>,
 ) -> Result<OpenAnswer, TryEnd> {
-    let target = wait_for_target(gateway, context, ledger, avoid).await?;
+    let aim = context.call.aim_ms as f64 * WAIT_PART;
+    let until = match resume {
+        Some(resume) => resume.lost + RESUME_WAIT_MS,
+        None => context.came + aim as u64,
+    };
+    let last_event = resume.and_then(|resume| resume.last_event);
+    let target = wait_for_target(gateway, context, ledger, avoid, until).await?;
     ledger.send();
     let may_repeat = ledger.may_repeat(gateway.clock.now());
     open(gateway, context, target, last_event, may_repeat)
@@ -297,9 +322,9 @@
     context: &CallContext,
     ledger: &TryLedger,
     avoid: &[UpstreamKey],
+    until: ClockTime,
 ) -> Result<SendTarget, TryEnd> {
     let call = &context.call;
-    let patience = call.aim_ms as f64 * WAIT_PART;
     loop {
         let now = gateway.clock.now();
         let refusal = {
@@ -325,8 +350,7 @@
                 }
             }
         };
-        let waits = refusal.reason == RefusalReason::NoUpstream && !ledger.is_repeat();
-        if !waits || now.since(context.came) as f64 >= patience {
+        if refusal.reason != RefusalReason::NoUpstream || now >= until {
             return Err(TryEnd::Refused(RequestRefusal {
                 verdict: ledger.verdict(),
                 ..refusal
@@ -822,6 +846,12 @@
         "upstream_failed"
     };
     gateway.metrics.requests.with_label_values(&[result]).inc();
+    let kind: &'static str = context.call.kind.into();
+    gateway
+        .metrics
+        .whole_ms
+        .with_label_values(&[kind])
+        .observe(took as f64);
     spdlog::debug!(
         "event=request_done request={} status={status} service={} upstream={} took_ms={took}",
         context.meta.id,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,11 +11,12 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 
+use crate::clock::ClockTime;
 use crate::gateway::attempt::{NextStep, TryFailure, TryLedger};
 use crate::gateway::event_stream::EventCutter;
 use crate::gateway::forward::{
     leave_draining, log_end, look_after, next_try, CallContext, CallFlight, FailedTry,
-    FlightHealth, GatewayBody, OpenAnswer, TryEnd, QUIET_MS,
+    FlightHealth, GatewayBody, OpenAnswer, StreamResume, TryEnd, QUIET_MS,
 };
 use crate::gateway::run::Gateway;
 use crate::gateway::upstream::UpstreamKey;
@@ -122,7 +123,7 @@
                     continue;
                 }
             };
-            if let Err(why) = self.resume(&failure).await {
+            if let Err(why) = self.resume(&failure, self.gateway.clock.now()).await {
                 return Some(self.break_off(&why));
             }
         }
@@ -137,7 +138,8 @@
         let health = look_after(&self.gateway, &self.context, flight, asks, may_repeat).await;
         if health != FlightHealth::Alive && may_repeat {
             let why = format!("it is silent: {health:?}");
-            if let Err(error) = self.resume(&why).await {
+            // The silent run may come to itself: nothing is waited for meanwhile.
+            if let Err(error) = self.resume(&why, ClockTime(0)).await {
                 // Nobody else has room: a detour is better than to stand still.
                 look_after(&self.gateway, &self.context, &mut self.flight, asks, false).await;
                 spdlog::info!(
@@ -173,8 +175,9 @@
         Err(io::Error::other(why.to_owned()))
     }
 
-    /// Goes on with another run after the last event that was passed on.
-    async fn resume(&mut self, why: &str) -> Result<(), String> {
+    /// Goes on with another run after the last event that was passed on. Room for it is waited
+    /// for, for a while from `lost` on.
+    async fn resume(&mut self, why: &str, lost: ClockTime) -> Result<(), String> {
         let mut failed = FailedTry {
             failure: TryFailure::Lost,
             at: self.flight.target.upstream,
@@ -191,13 +194,17 @@
                 return Err(why.to_owned());
             }
             self.avoid.push(failed.at);
-            let last = self.cutter.last().or(self.context.meta.last_event);
+            let resume = StreamResume {
+                last_event: self.cutter.last().or(self.context.meta.last_event),
+                lost,
+            };
+            let ledger = &mut self.ledger;
             let opened = next_try(
                 &self.gateway,
                 &self.context,
-                &mut self.ledger,
+                ledger,
                 &self.avoid,
-                last,
+                Some(resume),
             )
             .await;
             match opened {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -26,14 +26,14 @@
 
 /// Longest wait of one question for a newer configuration, milliseconds: its answer proves that
 /// there was none when it was asked.
-const CONFIG_WAIT_MS: u64 = 1_300;
+const CONFIG_WAIT_MS: u64 = 1_500;
 /// Longest wait of one question for changes of the registry, milliseconds.
 const REGISTRY_WAIT_MS: u64 = 20_000;
 /// Pause between two questions for changes of the registry, milliseconds: heartbeats change it
 /// all the time.
-const REGISTRY_PAUSE_MS: u64 = 700;
+const REGISTRY_PAUSE_MS: u64 = 900;
 /// The same while the fleet starts, milliseconds.
-const REGISTRY_START_PAUSE_MS: u64 = 250;
+const REGISTRY_START_PAUSE_MS: u64 = 400;
 /// Time after the start for which the fleet counts as starting, milliseconds.
 const START_MS: u64 = 8_000;
 /// Pause after a failed call of the store, milliseconds; doubled up to [`RETRY_MOST_MS`].
@@ -575,6 +575,7 @@
     let asked = gateway.clock.now();
     match output {
         DutyOutput::Note(_) => None,
+        DutyOutput::Await => Some(DutyInput::Vacant(await_vacancy(gateway, store).await)),
         DutyOutput::Grant => {
             let call = PlatformCall::LeaseGrant {
                 ttl_s: i64::try_from(LEASE_MS / 1_000).unwrap_or(1),
@@ -628,6 +629,38 @@
     spdlog::warn!("event=store_call_failed what={what} result={result:?}");
 }
 
+/// Waits until the duty's key is gone, or what an earlier start of this VM's process left behind.
+/// Returns false if the store does not tell.
+async fn await_vacancy(gateway: &Gateway, store: &KvStore) -> bool {
+    let call = PlatformCall::Range {
+        key: DUTY_KEY.to_owned(),
+        range_end: String::new(),
+    };
+    let (mut after, items) = match store.call(call).await {
+        Ok(PlatformAnswer::Range { revision, items }) => (revision, items),
+        _ => return false,
+    };
+    if items
+        .iter()
+        .all(|item| item.value == gateway.config.name.as_bytes())
+    {
+        return true;
+    }
+    loop {
+        match store.watch(DUTY_KEY, after, REGISTRY_WAIT_MS).await {
+            Ok(WatchAnswer::Changes(changes, revision)) => {
+                let removed = |change: &StoreChange| matches!(change, StoreChange::Removed { .. });
+                if changes.last().is_some_and(removed) {
+                    return true;
+                }
+                after = revision.max(after);
+            }
+            // Looked at anew, after a pause.
+            Ok(WatchAnswer::Forgotten) | Err(_) => return false,
+        }
+    }
+}
+
 /// Writes the duty's key under a lease: if it does not exist, or if it is what an earlier start
 /// of this VM's process left behind.
 async fn claim(gateway: &Gateway, store: &KvStore, lease: i64) -> Option<u64> {
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -1,6 +1,9 @@
 //! Metrics, under names that follow Prometheus' conventions.
 
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
 
 /// The metrics of one process. Labels come from closed sets, never from teams or replicas.
 #[derive(Clone, Debug)]
@@ -18,6 +21,21 @@
     pub platform_calls: IntCounter,
     /// Config revision in force.
     pub config_revision: IntGauge,
+    /// Time to the first byte of an answer, by kind of work, milliseconds.
+    pub first_ms: HistogramVec,
+    /// Time to the end of an answer, by kind of work, milliseconds.
+    pub whole_ms: HistogramVec,
+}
+
+/// Upper bounds of the latency histograms, milliseconds.
+const LATENCY_BOUNDS_MS: &[f64] = &[
+    5.0, 10.0, 20.0, 50.0, 100.0, 150.0, 250.0, 500.0, 1_000.0, 2_000.0, 5_000.0, 10_000.0,
+    20_000.0,
+];
+
+fn latency(name: &str, help: &str) -> prometheus::Result<HistogramVec> {
+    let opts = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS_MS.to_vec());
+    HistogramVec::new(opts, &["kind"])
 }
 
 impl MetricSet {
@@ -46,6 +64,16 @@
             "lynxcart_config_revision",
             "Revision up to which the configuration is known.",
         )?;
+        let first_ms = latency(
+            "lynxcart_first_byte_milliseconds",
+            "Time to the first byte of an answer, by kind of work.",
+        )?;
+        let whole_ms = latency(
+            "lynxcart_answer_milliseconds",
+            "Time to the end of an answer, by kind of work.",
+        )?;
+        registry.register(Box::new(first_ms.clone()))?;
+        registry.register(Box::new(whole_ms.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(in_flight.clone()))?;
         registry.register(Box::new(tokens.clone()))?;
@@ -60,6 +88,8 @@
             mail_sent,
             platform_calls,
             config_revision,
+            first_ms,
+            whole_ms,
         })
     }
 
