Plan copies by what they serve, show plans on the command line, and write logs without waiting

Cause: domain c of the users' fleet held its last layers on one slow card, whose first card then had KV memory for 50 requests only; a chain without the slowest kind is not always the one that serves most.

Change: a copy takes as many cards as give the highest rate (requests that are of use over the time of a token). 'lynxcart plan FILE' shows the plan beside cards packed full and equal ranges. Log lines are written by a thread of their own, 8,192 may wait, more are dropped and counted.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod client;
 mod entry;
 mod gateway;
+mod plan;
 mod profile;
 mod status;
 mod timeline;
@@ -15,6 +16,7 @@
 pub use check::CheckArgs;
 pub use entry::EntryArgs;
 pub use gateway::GatewayArgs;
+pub use plan::PlanArgs;
 pub use profile::ProfileArgs;
 pub use status::StatusArgs;
 pub use timeline::TimelineArgs;
@@ -37,6 +39,7 @@
     Entry(EntryArgs),
     Agent(AgentArgs),
     Gateway(GatewayArgs),
+    Plan(PlanArgs),
     Profile(ProfileArgs),
     Status(StatusArgs),
     Timeline(TimelineArgs),
@@ -84,6 +87,7 @@
             MainCommand::Entry(args) => args.run(),
             MainCommand::Agent(args) => args.run(),
             MainCommand::Gateway(args) => args.run(),
+            MainCommand::Plan(args) => args.run(),
             MainCommand::Profile(args) => args.run(),
             MainCommand::Status(args) => args.run(),
             MainCommand::Timeline(args) => args.run(),
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -14,6 +14,12 @@
 
 /// Requests whose KV memory a stage must hold at least for a chain to be worth placing.
 pub const REQUESTS_LEAST: f64 = 24.0;
+/// Requests beyond which more KV memory in a chain's tightest stage is of no use.
+const REQUESTS_MOST: f64 = 85.0;
+/// KV memory beyond which a stage is not planned, tokens.
+const TOKENS_MOST: f64 = 1e7;
+/// Time from one stage to the next, milliseconds.
+const HOP_MS: f64 = 0.2;
 
 /// One card to plan for.
 #[derive(Clone, Debug, PartialEq)]
@@ -111,37 +117,21 @@
     });
     let usual = f64::from(engine.usual_prompt + engine.usual_answer).max(1.0);
     let least = REQUESTS_LEAST * usual;
-    let Some(used) = (1..=cards.len()).find(|used| reaches(engine, &cards[..*used], least)) else {
+    let Some(fewest) = (1..=cards.len()).find(|used| reaches(engine, &cards[..*used], least))
+    else {
         return cards;
     };
-    // The cards of one kind go in together: more of them leave each more KV memory.
-    let slowest = cards[used - 1].kind.step_factor;
-    let mut used = cards
-        .iter()
-        .filter(|card| card.kind.step_factor < slowest)
-        .count();
-    let same = cards
-        .iter()
-        .filter(|card| card.kind.step_factor == slowest)
-        .count();
-    let fastest = cards[0].kind.step_factor;
-    // Slow cards lengthen every token: of these only as many as the layers ask for.
-    if slowest <= 3.0 * fastest {
-        used += same;
-    } else {
-        while !reaches(engine, &cards[..used], least) {
-            used += 1;
+    let mut best: Option<(f64, usize)> = None;
+    for used in fewest..=cards.len() {
+        let tokens = share_layers(engine, &mut cards[..used], least);
+        let rate = copy_rate(engine, &cards[..used], tokens / usual);
+        if best.is_none_or(|(most, _)| rate > most) {
+            best = Some((rate, used));
         }
     }
+    let used = best.map_or(fewest, |(_, used)| used);
     let left = cards.split_off(used);
-    let mut tokens = least;
-    while reaches(engine, &cards, tokens * 1.02) && tokens < 1e7 {
-        tokens *= 1.02;
-    }
-    for card in &mut cards {
-        card.layers = layers_beside(engine, card.kind, tokens);
-    }
-    trim(engine, &mut cards);
+    share_layers(engine, &mut cards, least);
     let mut from = 0;
     for sized in &cards {
         if sized.layers > 0 {
@@ -154,6 +144,32 @@
     left
 }
 
+/// Shares the layers over cards so that the tightest has as much KV memory as can be had. Returns
+/// the tokens that it holds, at least `least`.
+fn share_layers(engine: &EngineRule, cards: &mut [SizedCard<'_>], least: f64) -> f64 {
+    let mut tokens = least;
+    while reaches(engine, cards, tokens * 1.02) && tokens < TOKENS_MOST {
+        tokens *= 1.02;
+    }
+    for card in cards.iter_mut() {
+        card.layers = layers_beside(engine, card.kind, tokens);
+    }
+    trim(engine, cards);
+    tokens
+}
+
+/// How much a copy that holds `requests` at once serves: the requests that are of use, over the
+/// time of a token.
+fn copy_rate(engine: &EngineRule, cards: &[SizedCard<'_>], requests: f64) -> f64 {
+    let times = cards.iter().map(|card| {
+        let share = f64::from(card.layers) / f64::from(engine.layers.max(1));
+        let hop_ms = if card.layers > 0 { HOP_MS } else { 0.0 };
+        engine.step_ms * card.kind.step_factor * share + hop_ms
+    });
+    let token_ms: f64 = times.sum();
+    requests.min(REQUESTS_MOST) / token_ms.max(1e-6)
+}
+
 fn reaches(engine: &EngineRule, cards: &[SizedCard<'_>], tokens: f64) -> bool {
     let layers = cards
         .iter()
@@ -240,6 +256,58 @@
     best.map(|(_, range)| range)
 }
 
+/// A simpler plan to compare with: in each domain the fastest cards first, each filled with as
+/// many layers as it holds.
+pub fn packed_plan(engine: &EngineRule, cards: &[PlanCard]) -> PlacementPlan {
+    fill_domains(engine, cards, |kind, _| layers_beside(engine, kind, 0.0))
+}
+
+/// A simpler plan to compare with: in each domain all cards share the layers equally.
+pub fn equal_plan(engine: &EngineRule, cards: &[PlanCard]) -> PlacementPlan {
+    fill_domains(engine, cards, |kind, count| {
+        engine
+            .layers
+            .div_ceil(count)
+            .min(layers_beside(engine, kind, 0.0))
+    })
+}
+
+/// Gives each domain's cards, fastest first, so many layers until all are held.
+fn fill_domains(
+    engine: &EngineRule,
+    cards: &[PlanCard],
+    most: impl Fn(&CardKind, u32) -> u32,
+) -> PlacementPlan {
+    let mut plan = PlacementPlan::default();
+    let mut domains: BTreeMap<&str, Vec<(&CardKind, &PlanCard)>> = BTreeMap::new();
+    for card in cards {
+        if let Some(kind) = engine.kind(&card.kind) {
+            domains.entry(&card.domain).or_default().push((kind, card));
+        }
+    }
+    for mut cards in domains.into_values() {
+        cards.sort_by(|(one, _), (other, _)| one.step_factor.total_cmp(&other.step_factor));
+        let count = u32::try_from(cards.len()).unwrap_or(u32::MAX);
+        let (mut from, mut slots) = (0, Vec::new());
+        for (kind, card) in cards {
+            let to = engine.layers.min(from + most(kind, count));
+            if to > from {
+                let sized = SizedCard {
+                    card,
+                    kind,
+                    layers: to - from,
+                };
+                slots.push(slot(&sized, from, to, false));
+                from = to;
+            }
+        }
+        if from == engine.layers {
+            plan.slots.extend(slots);
+        }
+    }
+    plan
+}
+
 /// What a plan gives, in words for operators.
 pub fn explain(engine: &EngineRule, plan: &PlacementPlan) -> String {
     let mut lines = Vec::new();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -24,7 +24,7 @@
 use crate::platform::kv::KvStore;
 use crate::platform::order::StalledRequest;
 use crate::platform::READY_PATH;
-use crate::process::{spawn, EXIT_CUT};
+use crate::process::{dropped_lines, flush_logs, spawn, EXIT_CUT};
 use crate::web::{self, answer, WebRoute};
 
 /// Time after the signal to stop in which the balancer learns of it, milliseconds.
@@ -105,7 +105,9 @@
     let (signals, signalled) = watch::channel(0_u32);
     on_signal(signals)?;
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(serve(config, signalled))
+    let result = runtime.block_on(serve(config, signalled));
+    flush_logs();
+    result
 }
 
 async fn serve(config: GatewayConfig, mut signalled: watch::Receiver<u32>) -> eyre::Result<i32> {
@@ -171,6 +173,7 @@
 /// Logs how each failure domain does.
 async fn log_domains(gateway: Arc<Gateway>) {
     let mut tick = tokio::time::interval(Duration::from_millis(DOMAIN_LOG_MS));
+    let mut dropped = 0;
     loop {
         tick.tick().await;
         let now = gateway.clock.now();
@@ -178,6 +181,11 @@
         for line in lines {
             spdlog::info!("event=domain {line}");
         }
+        let all = dropped_lines();
+        if all > dropped {
+            spdlog::warn!("event=log_dropped lines={}", all - dropped);
+            dropped = all;
+        }
     }
 }
 
--- a/src/process.rs
+++ b/src/process.rs
@@ -1,7 +1,10 @@
 //! What both processes need to run: identity, logs, signals, and the HTTP routes they share.
 
+use std::num::NonZeroUsize;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use eyre::{eyre, WrapErr};
 use futures_util::FutureExt;
@@ -9,8 +12,8 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use spdlog::formatter::{pattern, PatternFormatter};
-use spdlog::sink::StdStreamSink;
-use spdlog::{LevelFilter, Logger};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
+use spdlog::{LevelFilter, Logger, ThreadPool};
 
 use crate::clock::ClockTime;
 use crate::event::EventRing;
@@ -111,7 +114,27 @@
     Ok(())
 }
 
-/// Sends logs to standard output, one key=value line per event.
+/// Log lines that may wait to be written.
+const LOG_LINES: usize = 8_192;
+/// Log lines that were dropped, as more came than could be written.
+static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
+
+/// Log lines dropped since the start.
+pub fn dropped_lines() -> u64 {
+    DROPPED_LINES.load(Ordering::Relaxed)
+}
+
+/// Waits until the log lines so far are written.
+pub fn flush_logs() {
+    spdlog::default_logger().flush();
+    thread::sleep(Duration::from_millis(LOG_FLUSH_MS));
+}
+
+/// Time for the last log lines to be written, milliseconds.
+const LOG_FLUSH_MS: u64 = 20;
+
+/// Sends logs to standard output, one key=value line per event. Nobody waits for a line to be
+/// written; lines beyond a bound are dropped and counted.
 ///
 /// # Errors
 ///
@@ -123,10 +146,25 @@
         .formatter(PatternFormatter::new(line))
         .build_arc()
         .wrap_err("could not open the log")?;
+    let lines = NonZeroUsize::new(LOG_LINES).unwrap_or(NonZeroUsize::MIN);
+    let writer = ThreadPool::builder()
+        .capacity(lines)
+        .build_arc()
+        .wrap_err("could not start the log's thread")?;
+    let count = |_| {
+        DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+    };
+    let sink = AsyncPoolSink::builder()
+        .sink(sink)
+        .thread_pool(writer)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(count)
+        .build_arc()
+        .wrap_err("could not open the log")?;
     let logger = Logger::builder()
         .sink(sink)
         .level_filter(level)
-        .flush_level_filter(LevelFilter::All)
+        .error_handler(count)
         .build_arc()
         .wrap_err("could not build the logger")?;
     spdlog::set_default_logger(logger);
--- a/tests/gateway/plan.rs
+++ b/tests/gateway/plan.rs
@@ -1,6 +1,8 @@
 //! The plan: every layer once a copy, within each card's memory, for whatever cards there are.
 
-use lynxcart::gateway::plan::{plan_service, PlacementPlan, PlanCard, REQUESTS_LEAST};
+use lynxcart::gateway::plan::{
+    equal_plan, packed_plan, plan_service, PlacementPlan, PlanCard, REQUESTS_LEAST,
+};
 use proptest::prelude::*;
 
 use crate::fixture::{cards, engine, DOMAINS};
@@ -56,6 +58,42 @@
     assert_eq!(plan.slots.len(), cards().len(), "a card stays empty");
 }
 
+/// Requests for which the tightest stage of a domain's chain has KV memory.
+fn tightest(plan: &PlacementPlan, domain: &str) -> f64 {
+    let engine = engine();
+    let usual = f64::from(engine.usual_prompt + engine.usual_answer);
+    let main = plan
+        .slots
+        .iter()
+        .filter(|slot| !slot.spare && slot.domain == domain);
+    let rooms = main.map(|slot| {
+        let kind = engine.kind(&slot.kind).unwrap();
+        engine.room(kind, slot.layers().len()) / f64::from(slot.layers().len()) / usual
+    });
+    rooms.fold(f64::INFINITY, f64::min)
+}
+
+#[test]
+fn the_plan_holds_more_requests_than_simpler_ones() {
+    let (engine, cards) = (engine(), cards());
+    let chosen = plan_service(&engine, &cards);
+    let packed = packed_plan(&engine, &cards);
+    let equal = equal_plan(&engine, &cards);
+    for plan in [&packed, &equal] {
+        check_memory(plan);
+    }
+    for domain in DOMAINS {
+        check_copy(&packed, domain);
+        let most = tightest(&packed, domain);
+        assert!(
+            tightest(&chosen, domain) > 4.0 * most,
+            "{domain}: packed holds {most}"
+        );
+    }
+    // Equal ranges use the slow cards in every chain, and do not fit where cards are few.
+    assert!(equal.slots.iter().filter(|slot| slot.kind == "l4").count() > 4);
+}
+
 #[test]
 fn domains_without_enough_cards_pool_them() {
     let few: Vec<PlanCard> = cards()
