--- a/standins/src/bin/bench.rs
+++ b/standins/src/bin/bench.rs
@@ -10,6 +10,7 @@
 use lynxcart::wire::{FrameKeys, MailOut};
 use standins::direct::DirectChain;
 use standins::fleet::{Fleet, FleetSetup};
+use standins::gateway_slope::gateway_slope;
 use standins::heap::CountingHeap;
 use standins::load::{ask, cpu_time, load_direct, load_fleet, resident_kib, LoadPlan, LoadReport};
 use standins::process::{free_address, FleetProcess};
@@ -294,6 +295,9 @@
 
 async fn slopes() -> eyre::Result<()> {
     figure("one heartbeat as sent", heartbeat_bytes() as f64, "bytes");
+    for count in [38, 150, 750, 3_000, 12_000] {
+        print_points(&gateway_slope(count));
+    }
     for count in [750, 1_500, 3_000, 6_000, 12_000] {
         print_points(&replica_slope(count));
     }
--- /dev/null
+++ b/standins/src/gateway_slope.rs
@@ -0,0 +1,117 @@
+//! Slopes of the gateway's decision code against the replicas known, without sockets.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use lynxcart::clock::ClockTime;
+use lynxcart::gateway::catalog::{CardKind, EngineRule};
+use lynxcart::gateway::chain::{choose_chain, ChainNeed};
+use lynxcart::gateway::peer::PeerTable;
+use lynxcart::gateway::plan::{plan_service, PlanCard};
+use lynxcart::gateway::upstream::{UpstreamEntry, UpstreamTable};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::slope::SlopePoint;
+
+/// Failure domains of the fleet.
+const DOMAINS: u32 = 25;
+/// Choices over which the time is taken.
+const ROUNDS: u32 = 20;
+
+fn engine() -> EngineRule {
+    let kind = |name: &str, memory_mb, step_factor, read_factor| CardKind {
+        name: name.to_owned(),
+        memory_mb,
+        step_factor,
+        read_factor,
+    };
+    EngineRule {
+        layers: 80,
+        layer_mb: 1_750.0,
+        kv_bytes: 590_000.0,
+        step_ms: 1.02,
+        per_request_ms: 0.004_59,
+        context_ms: 0.006_15,
+        read_per_s: 164_000.0,
+        stride: 4,
+        slots: 192,
+        load_ms: 14_000.0,
+        usual_prompt: 775,
+        usual_answer: 216,
+        delays: Vec::new(),
+        activation_bytes: 29_500.0,
+        pipe_mbps: 13_000.0,
+        kinds: vec![
+            kind("a100", 72_000.0, 2.4, 3.2),
+            kind("v100", 14_400.0, 5.3, 7.9),
+            kind("l4", 21_600.0, 16.0, 8.2),
+        ],
+    }
+}
+
+/// Time of a plan and time of a choice where one model has `count` replicas.
+pub fn gateway_slope(count: u32) -> Vec<SlopePoint> {
+    let engine = engine();
+    let cards: Vec<PlanCard> = (0..count)
+        .map(|number| PlanCard {
+            id: format!("i-{number:08x}"),
+            domain: format!("domain-{}", number % DOMAINS.min(count / 30 + 1)),
+            kind: ["a100", "v100", "v100", "v100", "l4", "l4"][(number / 25) as usize % 6]
+                .to_owned(),
+        })
+        .collect();
+    let began = Instant::now();
+    let plan = plan_service(&engine, &cards);
+    let plan_ms = began.elapsed().as_secs_f64() * 1e3;
+    let mut table = UpstreamTable::default();
+    for (number, slot) in (0_u32..).zip(&plan.slots) {
+        let address = format!("10.{}.{}.1:80", number / 250, number % 250);
+        table.hear(
+            ClockTime(0),
+            UpstreamEntry {
+                id: slot.id.clone(),
+                born: 1,
+                service: String::from("model"),
+                address: address.parse().expect("an address"),
+                domain: slot.domain.clone(),
+                slots: 192,
+                draining: false,
+                kind: slot.kind.clone(),
+                layers: slot.layers(),
+                revision: 1,
+            },
+        );
+    }
+    let peers = PeerTable::default();
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let need = ChainNeed {
+        now: ClockTime(1),
+        service: "model",
+        engine: &engine,
+        prompt: 775.0,
+        answer: 216.0,
+        domain: "domain-0",
+        avoid: &[],
+        first: None,
+        held: &[],
+        must: false,
+        peers: &peers,
+    };
+    let began = Instant::now();
+    for _ in 0..ROUNDS {
+        black_box(choose_chain(&table, &need, &mut rng));
+    }
+    let choice_us = began.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS);
+    let point = |what, value, unit| SlopePoint {
+        of: "gateway replicas",
+        count,
+        what,
+        value,
+        unit,
+    };
+    vec![
+        point("plan", plan_ms, "ms"),
+        point("choice of a chain", choice_us, "us"),
+    ]
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod direct;
 pub mod engine;
 pub mod fleet;
+pub mod gateway_slope;
 pub mod heap;
 pub mod kv;
 pub mod load;
