Split the gateway's large files by duty, and bind the stand-ins' ports before use

Ports are now bound by the site itself, which reports an error; a connection that was reset at once does not end a stand-in any more.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,12 +12,12 @@
 use hyper::body::{Frame, Incoming};
 
 use crate::clock::ClockTime;
+use crate::gateway::answer::{log_end, GatewayBody};
 use crate::gateway::attempt::{NextStep, TryFailure, TryLedger};
 use crate::gateway::event_stream::EventCutter;
-use crate::gateway::forward::{
-    leave_draining, log_end, look_after, next_try, CallContext, CallFlight, FailedTry,
-    FlightHealth, GatewayBody, OpenAnswer, StreamResume, TryEnd, QUIET_MS,
-};
+use crate::gateway::flight::{CallFlight, FailedTry, OpenAnswer};
+use crate::gateway::forward::{next_try, CallContext, StreamResume, TryEnd};
+use crate::gateway::rescue::{leave_draining, look_after, FlightHealth, QUIET_MS};
 use crate::gateway::run::Gateway;
 use crate::gateway::upstream::UpstreamKey;
 use crate::platform::headers::{caller_headers, AnswerMeta};
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -19,7 +19,7 @@
 use crate::gateway::pool::ConnectionPool;
 use crate::gateway::state::{GatewaySetup, GatewayState};
 use crate::gateway::upstream::UpstreamKey;
-use crate::gateway::{front, gossip, sync};
+use crate::gateway::{front, gossip, placing, sync};
 use crate::metric::MetricSet;
 use crate::platform::kv::KvStore;
 use crate::platform::order::StalledRequest;
@@ -150,7 +150,7 @@
     gateway.state().draining = true;
     gateway.stop.send_replace(StopPhase::Leaving);
     let began = gateway.clock.now();
-    sync::release(duty).await;
+    placing::release(duty).await;
     let limit = gateway.config.drain_limit_ms.saturating_sub(STOP_MARGIN_MS);
     loop {
         tokio::time::sleep(Duration::from_millis(STOP_LOOK_MS)).await;
--- a/standins/src/kv.rs
+++ b/standins/src/kv.rs
@@ -1,7 +1,6 @@
 //! The users' store: keys with revisions, leases, transactions and watches over HTTP/JSON.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -10,9 +9,10 @@
 use http::{Method, Request};
 use hyper::body::Incoming;
 use serde_json::{json, Value};
+use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
-use crate::server::{json as answer_json, read_body, serve, text, ServerResponse};
+use crate::server::{json as answer_json, read_body, serve_on, text, ServerResponse};
 
 #[derive(Clone, Debug)]
 struct KvItem {
@@ -130,9 +130,9 @@
     ///
     /// # Errors
     ///
-    /// When the address cannot be listened on.
-    pub async fn run(self, address: SocketAddr) -> eyre::Result<()> {
-        serve(address, move |request| self.clone().handle(request)).await
+    /// When a connection cannot be taken.
+    pub async fn run(self, listener: TcpListener) -> eyre::Result<()> {
+        serve_on(listener, move |request| self.clone().handle(request)).await
     }
 
     async fn handle(self, request: Request<Incoming>) -> ServerResponse {
--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -14,8 +14,9 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use serde_json::{json, Value};
+use tokio::net::TcpListener;
 
-use crate::server::{json as answer_json, read_body, serve, text, ServerResponse};
+use crate::server::{json as answer_json, read_body, serve_on, text, ServerResponse};
 
 /// Time between two events of a stream, milliseconds.
 pub const EVENT_MS: u64 = 10;
@@ -165,9 +166,10 @@
     ///
     /// # Errors
     ///
-    /// When the address cannot be listened on.
-    pub async fn run(self, address: SocketAddr) -> eyre::Result<()> {
-        serve(address, move |request| {
+    /// When a connection cannot be taken.
+    pub async fn run(self, listener: TcpListener) -> eyre::Result<()> {
+        let address = listener.local_addr()?;
+        serve_on(listener, move |request| {
             self.clone().handle(address, request)
         })
         .await
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -32,10 +32,25 @@
     F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
     A: Future<Output = ServerResponse> + Send + 'static,
 {
-    let listener = TcpListener::bind(address).await?;
+    serve_on(TcpListener::bind(address).await?, action).await
+}
+
+/// Serves requests that come to a listener until the process ends.
+///
+/// # Errors
+///
+/// When a connection cannot be taken.
+pub async fn serve_on<F, A>(listener: TcpListener, action: F) -> eyre::Result<()>
+where
+    F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
+    A: Future<Output = ServerResponse> + Send + 'static,
+{
     loop {
         let (socket, _) = listener.accept().await?;
-        socket.set_nodelay(true)?;
+        // It fails on a connection that the peer has reset already, which ends nothing else.
+        if socket.set_nodelay(true).is_err() {
+            continue;
+        }
         let action = action.clone();
         tokio::spawn(async move {
             let service = service_fn(move |request| {
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use lynxcart::fetch::{self, HttpClient};
 use serde_json::{json, Value};
+use tokio::net::TcpListener;
 
 use crate::kv::KvServer;
 use crate::process::{free_address, start_lynxcart, FleetProcess};
@@ -158,8 +159,10 @@
     pub async fn start(logs: PathBuf, gateways: usize) -> eyre::Result<Site> {
         std::fs::create_dir_all(&logs)?;
         let store = KvServer::default();
-        let store_address = free_address()?;
-        tokio::spawn(store.clone().run(store_address));
+        // Bound before anybody can take its port.
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let store_address = listener.local_addr()?;
+        tokio::spawn(store.clone().run(listener));
         let mut site = Site {
             store,
             replicas: ReplicaTable::default(),
@@ -172,11 +175,11 @@
         site.store.put("op/config", &config(1, &[KEY]));
         for number in 0..6 {
             let domain = if number < 3 { "a" } else { "b" };
-            let address = site.add_replica("model", domain, number)?;
+            let address = site.add_replica("model", domain, number).await?;
             site.models.push(address);
         }
         for number in 6..8 {
-            let address = site.add_replica("plain", "a", number)?;
+            let address = site.add_replica("plain", "a", number).await?;
             site.plain.push(address);
         }
         for number in 0..gateways {
@@ -189,20 +192,21 @@
         Ok(site)
     }
 
-    fn add_replica(
+    async fn add_replica(
         &self,
         service: &'static str,
         domain: &'static str,
         number: u64,
     ) -> eyre::Result<SocketAddr> {
-        let address = free_address()?;
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
         let state = ReplicaState {
             id: format!("i-{number}"),
             born: 1,
             ..ReplicaState::default()
         };
         self.replicas.add(address, state);
-        tokio::spawn(self.replicas.clone().run(address));
+        tokio::spawn(self.replicas.clone().run(listener));
         let (store, replicas) = (self.store.clone(), self.replicas.clone());
         tokio::spawn(async move {
             for beat in 0_u64.. {
