--- a/src/config.rs
+++ b/src/config.rs
@@ -255,6 +255,22 @@
     }
 }
 
+/// A time: a whole number of milliseconds, or seconds with an "s" behind them.
+fn millis(flag: Option<&String>, variable: &str, least: u64, most: u64) -> eyre::Result<u64> {
+    let value = text(flag, variable)?;
+    let Some(seconds) = value.strip_suffix('s') else {
+        return number(flag, variable, least, most);
+    };
+    match seconds
+        .parse::<f64>()
+        .map(|seconds| (seconds * 1_000.0).round())
+    {
+        // A time in range is small enough to be exact.
+        Ok(millis) if (least as f64..=most as f64).contains(&millis) => Ok(millis as u64),
+        _ => Err(wrong(variable, &value)),
+    }
+}
+
 fn name(flag: Option<&String>, variable: &str) -> eyre::Result<String> {
     let value = text(flag, variable)?;
     let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-_.".contains(c);
@@ -332,7 +348,7 @@
 
 /// Bound of a planned stop, milliseconds. Default: 120000.
 pub fn drain_limit_ms(flag: Option<&String>) -> eyre::Result<u64> {
-    number(flag, "LYNXCART_DRAIN_LIMIT_MS", 0, 3_600_000)
+    millis(flag, "LYNXCART_DRAIN_LIMIT_MS", 0, 3_600_000)
 }
 
 /// Where a gateway serves callers. Default: 127.0.0.1:8080.
@@ -347,7 +363,7 @@
 
 /// Bound within which a revoked key stops working, milliseconds. Default: 5000.
 pub fn revoke_ms(flag: Option<&String>) -> eyre::Result<Option<u64>> {
-    let bound = number(flag, "LYNXCART_REVOKE_MS", 0, 3_600_000)?;
+    let bound = millis(flag, "LYNXCART_REVOKE_MS", 0, 3_600_000)?;
     Ok((bound > 0).then_some(bound))
 }
 
@@ -366,7 +382,7 @@
 
 /// Window of the budget of repeats, milliseconds. Default: 10000.
 pub fn budget_window_ms(flag: Option<&String>) -> eyre::Result<u64> {
-    number(flag, "LYNXCART_BUDGET_WINDOW_MS", 100, 3_600_000)
+    millis(flag, "LYNXCART_BUDGET_WINDOW_MS", 100, 3_600_000)
 }
 
 /// Repeats allowed in a window whatever the requests. Default: 50.
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -1,5 +1,14 @@
 //! Answers to callers: an upstream's, whole, or a refusal of our own.
 
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, Limited};
+
 use crate::clock::ClockTime;
 use crate::gateway::flight::OpenAnswer;
 use crate::gateway::forward::CallContext;
@@ -8,13 +17,6 @@
 use crate::platform::headers::{caller_headers, put_identity};
 use crate::verdict::{RefusalReason, RequestRefusal, RunVerdict};
 use crate::web::problem_json;
-use bytes::Bytes;
-use http::header::{CONTENT_TYPE, RETRY_AFTER};
-use http::{HeaderValue, Response, StatusCode};
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, Limited};
-use std::io;
-use std::time::Duration;
 
 /// Largest answer of a plain service that is held until it is whole, bytes.
 const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -1,5 +1,10 @@
 //! Lets gateways find each other in the store.
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
 use crate::gateway::run::Gateway;
 use crate::gateway::sync::{StoreTrack, REGISTRY_PAUSE_MS, REGISTRY_WAIT_MS};
 use crate::platform::kv::{KvStore, StoreChange, WatchAnswer};
@@ -7,10 +12,6 @@
 use crate::store::{
     prefix_end, PlatformAnswer, PlatformCall, PlatformItem, PlatformStore, PlatformWrite,
 };
-use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
 
 /// Time that a gateway's entry lives without renewal, seconds.
 const GATEWAY_LEASE_S: i64 = 10;
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -1,5 +1,13 @@
 //! One try of a request at an upstream: sent, and answered up to the head.
 
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
 use crate::clock::ClockTime;
 use crate::gateway::attempt::TryFailure;
 use crate::gateway::forward::CallContext;
@@ -9,12 +17,6 @@
 use crate::gateway::state::SendTarget;
 use crate::gateway::upstream::UpstreamKey;
 use crate::platform::headers::{answer_meta, upstream_request, AnswerMeta, PassOn};
-use bytes::Bytes;
-use http::{Request, Response, StatusCode};
-use http_body_util::Full;
-use hyper::body::Incoming;
-use std::sync::Arc;
-use std::time::Duration;
 
 /// Idle time after which non-idempotent work is not given to a kept connection, milliseconds: the
 /// upstream may be closing it.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -3,6 +3,16 @@
 //!
 //! [`GatewayState`]: crate::gateway::state::GatewayState
 
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::request::Parts;
+use http::{Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
 use crate::clock::ClockTime;
 use crate::gateway::answer::{finish, refuse, whole_answer, GatewayBody};
 use crate::gateway::attempt::{NextStep, TryFailure, TryLedger};
@@ -14,14 +24,6 @@
 use crate::gateway::upstream::UpstreamKey;
 use crate::platform::headers::{request_meta, RequestMeta};
 use crate::verdict::{RefusalReason, RequestRefusal, RunVerdict};
-use bytes::Bytes;
-use http::header::HOST;
-use http::request::Parts;
-use http::{Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use std::sync::Arc;
-use std::time::Duration;
 
 /// Time for which a request waits for room in a chain, as a part of its aim.
 const WAIT_PART: f64 = 0.5;
@@ -70,7 +72,6 @@
     let came = gateway.clock.now();
     let (parts, body) = request.into_parts();
     let meta = request_meta(&parts.headers);
-    let admitted = admit(gateway, came, &parts, &meta);
     if gateway.refuses_new() {
         let refusal = RequestRefusal::not_run(RefusalReason::Draining, "this VM is stopping");
         return refuse(
@@ -80,7 +81,7 @@
             &refusal.retry_after(STOPPING_RETRY_MS),
         );
     }
-    let call = match admitted {
+    let call = match admit(gateway, came, &parts, &meta) {
         Ok(call) => call,
         Err(refusal) => return refuse(gateway, &meta.id, came, &refusal),
     };
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -1,5 +1,11 @@
 //! Carries out the duty of placing layers as [`PlaceDuty`] decides.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+
 use crate::fetch;
 use crate::gateway::duty::{DutyInput, DutyOutput, OrderReply, PlaceDuty, PlaceOrder, LEASE_MS};
 use crate::gateway::plan::PlacementPlan;
@@ -11,10 +17,6 @@
 use crate::platform::order::{order_reply, place_request};
 use crate::platform::{DUTY_KEY, PLAN_KEY};
 use crate::store::{PlatformAnswer, PlatformCall, PlatformCompare, PlatformStore, PlatformWrite};
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
 
 /// Time between two ticks of the duty, milliseconds.
 const DUTY_TICK_MS: u64 = 150;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -81,6 +81,7 @@
             return None;
         }
         loop {
+            self.follow_changes().await;
             let left = self.context.call.ends.since(self.gateway.clock.now());
             if left == 0 {
                 return Some(self.break_off("the time is up"));
@@ -97,7 +98,6 @@
                         Ok(whole) if whole.is_empty() => continue,
                         Ok(whole) => {
                             self.gateway.metrics.tokens.inc();
-                            self.follow_changes().await;
                             return Some(Ok(whole));
                         }
                         Err(fault) => format!("the stream is faulty: {fault:?}"),
--- a/src/gateway/rescue.rs
+++ b/src/gateway/rescue.rs
@@ -1,6 +1,14 @@
 //! Looks after requests that are silent: asks why, and leads them round replicas that are dead or
 //! leaving.
 
+use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+
 use crate::gateway::flight::CallFlight;
 use crate::gateway::forward::CallContext;
 use crate::gateway::run::{Gateway, StalledReport};
@@ -10,12 +18,6 @@
 use crate::platform::order::{
     decode_report, fault_address, repath_request, report_request, ReplicaReport, StalledRequest,
 };
-use bytes::Bytes;
-use http::Request;
-use http_body_util::Full;
-use std::net::SocketAddr;
-use std::sync::{Arc, PoisonError};
-use std::time::Duration;
 
 /// Silence after which a request looks whether a replica of its chain is in doubt, milliseconds.
 pub const QUIET_MS: u64 = 100;
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -1,5 +1,11 @@
 //! Keeps the gateway's knowledge of the store fresh: configuration and registry.
 
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+
 use crate::clock::ClockTime;
 use crate::gateway::directory::{follow_gateways, register};
 use crate::gateway::placing::{run_duty, DutyHandle};
@@ -9,10 +15,6 @@
 use crate::platform::registry::{decode_entry, entry_id};
 use crate::platform::{CONFIG_KEY, REGISTRY_PREFIX};
 use crate::store::{prefix_end, PlatformAnswer, PlatformCall, PlatformItem, PlatformStore};
-use std::collections::HashSet;
-use std::sync::Arc;
-use std::time::Duration;
-use tokio::sync::mpsc;
 
 /// Longest wait of one question for a newer configuration, milliseconds: its answer proves that
 /// there was none when it was asked.
--- a/src/store.rs
+++ b/src/store.rs
@@ -1,6 +1,7 @@
 //! The platform's key-value service: what is asked of it, and the edge that asks.
 //!
-//! The published protocol is the HTTP/JSON form of etcd's v3 API (range, txn, lease, watch).
+//! It is spoken to in one of two forms: the HTTP/JSON form of etcd's v3 API in [`etcd`], and that
+//! of the users' platform in [`crate::platform::kv`].
 
 pub mod etcd;
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod catalog;
 mod chain;
+mod config;
 mod duty;
 mod event_stream;
 mod fixture;
