--- a/standins/tests/gateway.rs
+++ b/standins/tests/gateway.rs
@@ -82,6 +82,33 @@
     assert!(began.elapsed() < LEAVE);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_stream_that_can_go_nowhere_else_is_waited_for_and_not_ended() {
+    let site = site("gateway-silent", 1).await;
+    let response = site
+        .open(0, &SiteCall::stream("s1", 150))
+        .await
+        .expect("a stream");
+    let chain = site.wait_chain("s1").await.expect("a chain");
+    let held = site.replicas.state(chain[1]).layers;
+    // All that hold this range are cut off for a while, but less than callers bear.
+    let models = site.models.iter().copied();
+    let holders: Vec<_> = models
+        .filter(|address| site.replicas.state(*address).layers == held)
+        .collect();
+    let set = |dead| {
+        for address in &holders {
+            site.replicas.change(*address, |state| state.dead = dead);
+        }
+    };
+    set(true);
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    set(false);
+    let answer = read_answer(response).await.expect("a whole stream");
+    assert_eq!(answer.event_ids(), ids(150));
+    assert_eq!(site.runs("s1"), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_first_replica_that_dies_is_followed_by_a_new_run_without_gap_or_double() {
     let site = site("gateway-first", 1).await;
