Try ports only while no process is forked

The port had been tried and given out just before by the same program. Another thread forked a process meanwhile: a child holds its parent's sockets until it runs its program, so that the tried port was still listened on. The one failed start of the gateway's stand-ins fits the same cause.

Ruled out: leftover processes (none), the range of ports for connections (32768 and up; these are below).

Change: trying a port and starting a process exclude each other.

--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use eyre::{ensure, eyre, WrapErr};
@@ -92,6 +93,13 @@
 /// Ports given out at most.
 const PORTS: u16 = 12_000;
 
+/// Held while a port is tried and while a process is forked: a child holds its parent's sockets
+/// until it runs its program, so that a port tried meanwhile would still be in use.
+fn no_fork() -> MutexGuard<'static, ()> {
+    static FORK: Mutex<()> = Mutex::new(());
+    FORK.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A loopback address that nobody listens on, given out once.
 ///
 /// # Errors
@@ -105,6 +113,7 @@
         let given = GIVEN.fetch_add(1, Ordering::Relaxed);
         ensure!(given < PORTS, "no port is left");
         let port = FIRST_PORT + (offset + given) % PORTS;
+        let _alone = no_fork();
         if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
             return Ok(listener.local_addr()?);
         }
@@ -162,12 +171,14 @@
     for (flag, value) in args {
         command.arg(flag).arg(value);
     }
+    let alone = no_fork();
     let child = command
         .stdin(Stdio::null())
         .stdout(log.try_clone()?)
         .stderr(log)
         .spawn()
         .wrap_err_with(|| format!("could not start {name}"))?;
+    drop(alone);
     Ok(FleetProcess {
         name: name.to_owned(),
         http,
