--- a/standins/src/gateway_slope.rs
+++ b/standins/src/gateway_slope.rs
@@ -95,7 +95,6 @@
         avoid: &[],
         first: None,
         held: &[],
-        must: false,
         peers: &peers,
     };
     let began = Instant::now();
