--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod service;
 pub mod site;
 pub mod slope;
+pub mod soak;
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -21,6 +21,8 @@
 pub const LAYERS: u64 = 8;
 /// The team's key.
 pub const KEY: &str = "key-of-mill";
+/// Time that callers wait, milliseconds.
+pub const DEADLINE_MS: u64 = 8_000;
 /// Time between two heartbeats of a replica, milliseconds.
 const BEAT_MS: u64 = 300;
 /// Time in which a site must be ready, milliseconds.
@@ -41,6 +43,9 @@
     pub gateways: Vec<SiteGateway>,
     client: HttpClient,
     version: u64,
+    keys: Vec<String>,
+    logs: PathBuf,
+    store_address: SocketAddr,
 }
 
 /// One gateway.
@@ -50,6 +55,8 @@
     pub process: FleetProcess,
     /// Where it says whether it is ready.
     pub ready: SocketAddr,
+    /// Times that it was started.
+    starts: u32,
 }
 
 /// A request of a caller.
@@ -119,7 +126,7 @@
     }
 }
 
-fn config(version: u64, keys: &[&str]) -> Value {
+fn config(version: u64, keys: &[String]) -> Value {
     let route = |prefix: &str, kind: &str, service: &str, attempts: u64| {
         json!({
             "name": prefix, "host": "site.example", "prefix": prefix, "kind": kind,
@@ -171,8 +178,11 @@
             gateways: Vec::new(),
             client: fetch::unpooled_client(),
             version: 1,
+            keys: vec![KEY.to_owned()],
+            logs,
+            store_address,
         };
-        site.store.put("op/config", &config(1, &[KEY]));
+        site.store.put("op/config", &config(1, &site.keys));
         for number in 0..6 {
             let domain = if number < 3 { "a" } else { "b" };
             let address = site.add_replica("model", domain, number).await?;
@@ -183,7 +193,8 @@
             site.plain.push(address);
         }
         for number in 0..gateways {
-            let gateway = start_gateway(&logs, number, store_address)?;
+            let addresses = [free_address()?, free_address()?, free_address()?];
+            let gateway = site.start_gateway(number, addresses, 1)?;
             site.gateways.push(gateway);
         }
         for number in 0..gateways {
@@ -227,10 +238,57 @@
         Ok(address)
     }
 
+    fn start_gateway(
+        &self,
+        number: usize,
+        addresses: [SocketAddr; 3],
+        starts: u32,
+    ) -> eyre::Result<SiteGateway> {
+        let [front, ready, mail] = addresses;
+        let name = format!("gateway-{number}");
+        let args = [
+            ("--name", name.clone()),
+            ("--front-address", front.to_string()),
+            ("--ready-address", ready.to_string()),
+            ("--mail-address", mail.to_string()),
+            ("--platform", self.store_address.to_string()),
+            ("--failure-domain", "a".to_owned()),
+            ("--drain-limit-ms", "8000".to_owned()),
+        ];
+        // Each start has a log of its own.
+        let name = format!("{name}-{starts}");
+        let process = start_lynxcart(&self.logs, &name, "gateway", front, mail, &args)?;
+        ensure!(process.http == front, "the gateway has another address");
+        Ok(SiteGateway {
+            process,
+            ready,
+            starts,
+        })
+    }
+
+    /// Starts a gateway that was killed again, at its old addresses.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be started.
+    pub fn restart_gateway(&mut self, number: usize) -> eyre::Result<()> {
+        let old = &self.gateways[number];
+        let addresses = [old.process.http, old.ready, old.process.mail];
+        self.gateways[number] = self.start_gateway(number, addresses, old.starts + 1)?;
+        Ok(())
+    }
+
     /// Puts a newer configuration in force that holds just these keys.
     pub fn accept_keys(&mut self, keys: &[&str]) {
+        self.keys = keys.iter().map(|key| (*key).to_owned()).collect();
+        self.change_config();
+    }
+
+    /// Puts a newer configuration in force that says the same.
+    pub fn change_config(&mut self) {
         self.version += 2;
-        self.store.put("op/config", &config(self.version, keys));
+        let newer = config(self.version, &self.keys);
+        self.store.put("op/config", &newer);
     }
 
     /// Waits until a gateway says that it is ready, or that it is not.
@@ -261,16 +319,7 @@
         gateway: usize,
         call: &SiteCall,
     ) -> eyre::Result<http::Response<Incoming>> {
-        let address = self.gateways[gateway].process.http;
-        let request = Request::post(format!("http://{address}{}", call.path))
-            .header("host", "site.example")
-            .header("x-attempt-id", &call.id)
-            .header("x-api-key", call.key)
-            .header("x-tenant", "forged")
-            .header("x-deadline-ms", "8000")
-            .header("x-token-count", format!("20,{}", call.tokens))
-            .body(Full::from(format!("body of {}", call.id)))?;
-        Ok(self.client.request(request).await?)
+        send(&self.client, self.gateways[gateway].process.http, call).await
     }
 
     /// Sends a request to a gateway and reads the whole answer.
@@ -305,47 +354,67 @@
     }
 }
 
+/// Sends a request to the gateway at an address. The body of the answer is still to come.
+///
+/// # Errors
+///
+/// When no head of an answer comes.
+pub async fn send(
+    client: &HttpClient,
+    address: SocketAddr,
+    call: &SiteCall,
+) -> eyre::Result<http::Response<Incoming>> {
+    let request = Request::post(format!("http://{address}{}", call.path))
+        .header("host", "site.example")
+        .header("x-attempt-id", &call.id)
+        .header("x-api-key", call.key)
+        .header("x-tenant", "forged")
+        .header("x-deadline-ms", DEADLINE_MS.to_string())
+        .header("x-token-count", format!("20,{}", call.tokens))
+        .body(Full::from(format!("body of {}", call.id)))?;
+    Ok(client.request(request).await?)
+}
+
 /// Reads the whole body of an answer.
 ///
 /// # Errors
 ///
 /// When it breaks off.
 pub async fn read_answer(response: http::Response<Incoming>) -> eyre::Result<SiteAnswer> {
+    let (answer, end) = read_part(response, usize::MAX).await;
+    end?;
+    Ok(answer)
+}
+
+/// Reads the body of an answer until it ends, breaks off or has so many bytes. Returns what came
+/// and how it ended.
+pub async fn read_part(
+    response: http::Response<Incoming>,
+    most: usize,
+) -> (SiteAnswer, eyre::Result<()>) {
     let (head, mut incoming) = response.into_parts();
     let (mut body, mut longest_pause) = (Vec::new(), Duration::ZERO);
     let mut last = Instant::now();
+    let mut end = Ok(());
     while let Some(frame) = incoming.frame().await {
         longest_pause = longest_pause.max(last.elapsed());
         last = Instant::now();
-        if let Ok(data) = frame?.into_data() {
-            body.extend_from_slice(&data);
+        match frame {
+            Ok(frame) => body.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data)),
+            Err(error) => {
+                end = Err(error.into());
+                break;
+            }
+        }
+        if body.len() >= most {
+            break;
         }
     }
-    Ok(SiteAnswer {
+    let answer = SiteAnswer {
         status: head.status.as_u16(),
         headers: head.headers,
-        body: String::from_utf8(body)?,
+        body: String::from_utf8_lossy(&body).into_owned(),
         longest_pause,
-    })
-}
-
-fn start_gateway(
-    logs: &std::path::Path,
-    number: usize,
-    store: SocketAddr,
-) -> eyre::Result<SiteGateway> {
-    let (front, ready, mail) = (free_address()?, free_address()?, free_address()?);
-    let name = format!("gateway-{number}");
-    let args = [
-        ("--name", name.clone()),
-        ("--front-address", front.to_string()),
-        ("--ready-address", ready.to_string()),
-        ("--mail-address", mail.to_string()),
-        ("--platform", store.to_string()),
-        ("--failure-domain", "a".to_owned()),
-        ("--drain-limit-ms", "8000".to_owned()),
-    ];
-    let process = start_lynxcart(logs, &name, "gateway", front, mail, &args)?;
-    ensure!(process.http == front, "the gateway has another address");
-    Ok(SiteGateway { process, ready })
+    };
+    (answer, end)
 }
--- /dev/null
+++ b/standins/tests/soak.rs
@@ -0,0 +1,22 @@
+//! A short fault soak. `cargo run --release -p standins --bin soak -- --seconds 60 --seeds 10`
+//! runs longer ones.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use standins::soak::{run_soak, SoakSetup};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn rules_hold_and_the_site_recovers_under_faults_by_turns() {
+    for seed in [1, 2] {
+        let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+        let setup = SoakSetup {
+            logs,
+            seed,
+            length: Duration::from_secs(8),
+            gateways: 3,
+        };
+        let report = run_soak(&setup).await.expect("the rules hold");
+        assert!(report.faults > 5, "{report}");
+    }
+}
