Ask for a proof at once when the store is back

Ruled out: gateways that did not see the store's return (store_back within 640 ms in each log). After a failure the next watch does not wait.

The soak's callers also came back at once after each refusal, which counted a refusal many times: they come back when they are told to, as the users' do.

--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -83,6 +83,15 @@
         }
     }
 
+    /// How long a watch may wait for news, milliseconds: not at all after a failure, so that the
+    /// store's return is known at once, also when nothing has changed.
+    fn patience(&self, wait_ms: u64) -> u64 {
+        match self.failures {
+            0 => wait_ms,
+            _ => 0,
+        }
+    }
+
     fn was_away(&self, now: ClockTime) -> bool {
         self.failed_at.is_some_and(|at| now.since(at) < AWAY_MS)
     }
@@ -95,7 +104,10 @@
         let asked = gateway.clock.now();
         let result = match after {
             None => read_config(&gateway, &store, asked).await,
-            Some(revision) => watch_config(&gateway, &store, asked, revision).await,
+            Some(revision) => {
+                let wait_ms = track.patience(CONFIG_WAIT_MS);
+                watch_config(&gateway, &store, asked, revision, wait_ms).await
+            }
         };
         match result {
             Ok(next) => {
@@ -137,8 +149,9 @@
     store: &KvStore,
     asked: ClockTime,
     after: u64,
+    wait_ms: u64,
 ) -> Result<Option<u64>, String> {
-    match store.watch(CONFIG_KEY, after, CONFIG_WAIT_MS).await {
+    match store.watch(CONFIG_KEY, after, wait_ms).await {
         Ok(WatchAnswer::Changes(changes, revision)) => {
             let mut whole = true;
             for change in &changes {
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -76,6 +76,16 @@
     answer: Option<(SiteAnswer, bool)>,
 }
 
+impl CallRecord {
+    /// When the answer says to come back; at most a third of the time that callers wait.
+    fn retry_after(&self) -> Duration {
+        let headers = self.answer.as_ref().map(|(answer, _)| &answer.headers);
+        let value = headers.and_then(|headers| headers.get("retry-after")?.to_str().ok());
+        let seconds: f64 = value.and_then(|value| value.parse().ok()).unwrap_or(0.0);
+        Duration::from_secs_f64(seconds.clamp(0.0, DEADLINE_MS as f64 / 3_000.0))
+    }
+}
+
 /// What a soak saw.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SoakReport {
@@ -146,9 +156,11 @@
         };
         let leaves = call.tokens > 0 && rng.random_bool(0.1);
         let front = fronts[rng.random_range(0..fronts.len())];
-        records.push(ask(&client, front, call, leaves).await);
-        // Callers that are refused come back a little later, like others.
-        tokio::time::sleep(Duration::from_millis(rng.random_range(5..40))).await;
+        let record = ask(&client, front, call, leaves).await;
+        let pause = Duration::from_millis(rng.random_range(5..40));
+        // Callers that were refused come back when they were told to.
+        tokio::time::sleep(pause + record.retry_after()).await;
+        records.push(record);
     }
     records
 }
--- a/standins/tests/gateway.rs
+++ b/standins/tests/gateway.rs
@@ -233,6 +233,21 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_is_back_for_a_second_between_two_outages_lets_keys_work_again() {
+    let site = site("gateway-back", 1).await;
+    for round in 0..3 {
+        site.store.set_down(true);
+        site.wait_ready(0, false).await.expect("not ready");
+        // Nothing has changed meanwhile, so that no watch has anything to tell.
+        site.store.set_down(false);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let call = SiteCall::issue(&format!("back-{round}"));
+        let answer = site.call(0, &call).await.expect("an answer");
+        assert_eq!(answer.status, 200, "round {round}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_ends_what_it_has_taken_and_refuses_the_rest() {
     let mut site = site("gateway-stop", 2).await;
