Ask the store at a pace that follows from the deployment's bounds

The registry's pause (0.9 s) and the wait of the configuration's watch (1.5 s) were constants that fit `drain_ms` 2,000 and `revoke_ms` 5,000: with a bound of 2 s on revoked keys a gateway would never have counted as ready. `PendingOrder.answered`, which nobody read, is gone.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -30,6 +30,9 @@
     /// bound within which a revoked key stops working, milliseconds; 0: none (LYNXCART_REVOKE_MS)
     #[argh(option)]
     revoke_ms: Option<String>,
+    /// bound within which a leaving upstream gets no new work, milliseconds (LYNXCART_LEAVE_BOUND_MS)
+    #[argh(option)]
+    leave_bound_ms: Option<String>,
     /// repeats allowed for each request (LYNXCART_BUDGET_RATIO)
     #[argh(option)]
     budget_ratio: Option<String>,
@@ -61,6 +64,7 @@
             platform: config::platform(self.platform.as_ref())?,
             failure_domain: config::failure_domain(self.failure_domain.as_ref())?,
             revoke_ms: config::revoke_ms(self.revoke_ms.as_ref())?,
+            leave_bound_ms: config::leave_bound_ms(self.leave_bound_ms.as_ref())?,
             budget: BudgetRule {
                 ratio: config::budget_ratio(self.budget_ratio.as_ref())?,
                 window_ms: config::budget_window_ms(self.budget_window_ms.as_ref())?,
--- a/src/config.rs
+++ b/src/config.rs
@@ -120,6 +120,8 @@
     pub failure_domain: String,
     /// Bound within which a revoked key stops working, milliseconds, if there is one.
     pub revoke_ms: Option<u64>,
+    /// Bound within which a leaving upstream gets no new work, milliseconds.
+    pub leave_bound_ms: u64,
     /// The deployment's budget of repeats.
     pub budget: BudgetRule,
     /// Bound of a planned stop, milliseconds.
@@ -188,6 +190,7 @@
         "5000",
         "0 to 3600000 ms; 0 for no bound",
     ),
+    row("LYNXCART_LEAVE_BOUND_MS", "2000", "200 to 600000 ms"),
     row("LYNXCART_BUDGET_RATIO", "0.2", "0 to 10 repeats a request"),
     row("LYNXCART_BUDGET_WINDOW_MS", "10000", "100 to 3600000 ms"),
     row("LYNXCART_BUDGET_EXTRA", "50", "0 to 1000000 repeats"),
@@ -367,6 +370,11 @@
     Ok((bound > 0).then_some(bound))
 }
 
+/// Bound within which a leaving upstream gets no new work, milliseconds. Default: 2000.
+pub fn leave_bound_ms(flag: Option<&String>) -> eyre::Result<u64> {
+    millis(flag, "LYNXCART_LEAVE_BOUND_MS", 200, 600_000)
+}
+
 fn fraction(flag: Option<&String>, variable: &str, most: f64) -> eyre::Result<f64> {
     let value = text(flag, variable)?;
     match value.parse() {
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -100,6 +100,8 @@
     pub slots: u32,
     /// Time to load all layers, milliseconds.
     pub load_ms: f64,
+    /// Loads that may be under way at once, if it is said: more make each slower.
+    pub loads_most: Option<usize>,
     /// Mean number of tokens in a prompt.
     pub usual_prompt: u32,
     /// Mean number of tokens in an answer.
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::gateway::run::Gateway;
-use crate::gateway::sync::{StoreTrack, REGISTRY_PAUSE_MS, REGISTRY_WAIT_MS};
+use crate::gateway::sync::{StoreTrack, DIRECTORY_PAUSE_MS, REGISTRY_WAIT_MS};
 use crate::platform::kv::{KvStore, StoreChange, WatchAnswer};
 use crate::platform::GATEWAY_PREFIX;
 use crate::store::{
@@ -93,7 +93,7 @@
                     spdlog::info!("event=gateways known={}", others.len() + 1);
                     gateway.state().peer_addresses = others;
                 }
-                tokio::time::sleep(Duration::from_millis(REGISTRY_PAUSE_MS)).await;
+                tokio::time::sleep(Duration::from_millis(DIRECTORY_PAUSE_MS)).await;
             }
             Err(error) => track.failed(gateway.clock.now(), &error).await,
         }
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -30,7 +30,8 @@
 const ORDER_MS: u64 = 2_500;
 /// Time between two looks for what is missing, milliseconds.
 const LOOK_MS: u64 = 300;
-/// Loads that are under way at once: more make each slower.
+
+/// Loads that are under way at once where the configuration names no number.
 const LOADS_MOST: usize = 6;
 
 /// The duty as this entry sees it.
@@ -130,7 +131,6 @@
     layers: LayerRange,
     sequence: u64,
     until: ClockTime,
-    answered: bool,
 }
 
 /// State of the placing duty in one entry.
@@ -335,7 +335,6 @@
         };
         match reply {
             OrderReply::Begun | OrderReply::Done => {
-                pending.answered = true;
                 self.sequences.insert(key, pending.sequence + 1);
             }
             OrderReply::Unfit(sequence) => {
@@ -384,8 +383,9 @@
                 outputs.push(DutyOutput::Note(note));
                 outputs.push(DutyOutput::KeepPlan(plan.clone(), token));
             }
+            let loads_most = engine.loads_most.unwrap_or(LOADS_MOST).max(1);
             for step in steps {
-                if self.pending.len() >= LOADS_MOST && self.since + GATHER_MS * 2 < now {
+                if self.pending.len() >= loads_most && self.since + GATHER_MS * 2 < now {
                     break;
                 }
                 self.order(now, step, engine, table, token, outputs);
@@ -490,7 +490,6 @@
                 layers,
                 sequence,
                 until: now + load_ms * 2 + ORDER_MS,
-                answered: false,
             },
         );
         outputs.push(DutyOutput::Note(format!(
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -16,14 +16,19 @@
 use crate::platform::{CONFIG_KEY, REGISTRY_PREFIX};
 use crate::store::{prefix_end, PlatformAnswer, PlatformCall, PlatformItem, PlatformStore};
 
-/// Longest wait of one question for a newer configuration, milliseconds: its answer proves that
-/// there was none when it was asked.
-const CONFIG_WAIT_MS: u64 = 1_500;
+/// Longest wait of one question for a newer configuration, as a part of the bound within which a
+/// revoked key stops working: its answer proves that there was none when it was asked, and a
+/// proof counts as fresh for half the bound.
+const CONFIG_WAIT_PART: f64 = 0.3;
+/// The same where keys may lag, milliseconds.
+const CONFIG_WAIT_MOST_MS: u64 = 5_000;
 /// Longest wait of one question for changes of the registry, milliseconds.
 pub(super) const REGISTRY_WAIT_MS: u64 = 20_000;
-/// Pause between two questions for changes of the registry, milliseconds: heartbeats change it
-/// all the time.
-pub(super) const REGISTRY_PAUSE_MS: u64 = 900;
+/// Pause between two questions for changes of the registry, as a part of the bound within which a
+/// leaving upstream gets no new work: heartbeats change it all the time.
+const REGISTRY_PAUSE_PART: f64 = 0.45;
+/// Pause between two questions for changes of the gateways, milliseconds.
+pub(super) const DIRECTORY_PAUSE_MS: u64 = 900;
 /// The same while the fleet starts, milliseconds.
 const REGISTRY_START_PAUSE_MS: u64 = 400;
 /// Time after the start for which the fleet counts as starting, milliseconds.
@@ -97,15 +102,27 @@
     }
 }
 
+/// Longest wait of one question for a newer configuration, milliseconds.
+pub fn config_wait_ms(revoke_ms: Option<u64>) -> u64 {
+    let part = revoke_ms.map(|bound| (bound as f64 * CONFIG_WAIT_PART) as u64);
+    part.map_or(CONFIG_WAIT_MOST_MS, |wait| wait.min(CONFIG_WAIT_MOST_MS))
+}
+
+/// Pause between two questions for changes of the registry, milliseconds.
+pub fn registry_pause_ms(leave_bound_ms: u64) -> u64 {
+    (leave_bound_ms as f64 * REGISTRY_PAUSE_PART) as u64
+}
+
 async fn follow_config(gateway: Arc<Gateway>, store: KvStore) {
     let mut track = StoreTrack::new("config");
+    let wait_ms = config_wait_ms(gateway.config.revoke_ms);
     let mut after: Option<u64> = None;
     loop {
         let asked = gateway.clock.now();
         let result = match after {
             None => read_config(&gateway, &store, asked).await,
             Some(revision) => {
-                let wait_ms = track.patience(CONFIG_WAIT_MS);
+                let wait_ms = track.patience(wait_ms);
                 watch_config(&gateway, &store, asked, revision, wait_ms).await
             }
         };
@@ -198,6 +215,7 @@
     let mut track = StoreTrack::new("registry");
     let mut after: Option<u64> = None;
     let began = gateway.clock.now();
+    let pause_ms = registry_pause_ms(gateway.config.leave_bound_ms);
     loop {
         let result = match after {
             None => read_registry(&gateway, &store, &track).await,
@@ -209,10 +227,9 @@
                 track.answered();
                 after = next;
                 let starting = now.since(began) < START_MS;
-                let pause = if starting {
-                    REGISTRY_START_PAUSE_MS
-                } else {
-                    REGISTRY_PAUSE_MS
+                let pause = match starting {
+                    true => pause_ms.min(REGISTRY_START_PAUSE_MS),
+                    false => pause_ms,
                 };
                 tokio::time::sleep(Duration::from_millis(pause)).await;
             }
--- a/src/platform/manifest.rs
+++ b/src/platform/manifest.rs
@@ -80,6 +80,7 @@
     act_bytes: f64,
     pipe_mbps: f64,
     kinds: Vec<RawKind>,
+    loads_at_once: Option<usize>,
 }
 
 #[derive(Default, Deserialize)]
@@ -218,6 +219,7 @@
             stride: raw.stride.max(1),
             slots: raw.slots,
             load_ms: load_s * 1_000.0,
+            loads_most: raw.loads_at_once,
             usual_prompt: raw.usual.prompt as u32,
             usual_answer: raw.usual.answer as u32,
             delays: delays
--- a/standins/src/gateway_slope.rs
+++ b/standins/src/gateway_slope.rs
@@ -37,6 +37,7 @@
         stride: 4,
         slots: 192,
         load_ms: 14_000.0,
+        loads_most: None,
         usual_prompt: 775,
         usual_answer: 216,
         delays: Vec::new(),
--- a/tests/gateway/adapter.rs
+++ b/tests/gateway/adapter.rs
@@ -19,7 +19,7 @@
  {"name":"q","host":"h.example","prefix":"/p/","kind":"something_new","timeout_ms":1000,
   "service":"w","max_attempts":1}],
  "services":[{"name":"m","health_path":"/healthz","max_connections":1138,"engine":{"slots":192,
-  "kv_bytes":590000,"stride":4,"models":[{"name":"x","load_s":14.0}],"step_ms":1.02,
+  "kv_bytes":590000,"stride":4,"loads_at_once":9,"models":[{"name":"x","load_s":14.0}],"step_ms":1.02,
   "per_seq_ms":0.00459,"context_per_k":0.00615,"read_per_s":164000.0,
   "delays":[{"from":"a","to":"b","delay_ms":0.5}],"usual":{"prompt":775,"answer":216},"layers":80,
   "layer_mb":1750.0,"act_bytes":29500,"pipe_mbps":13000.0,
@@ -42,8 +42,13 @@
     assert!(!config.routes[1].repeatable());
     let engine = config.services[0].engine.as_ref().unwrap();
     assert_eq!(
-        (engine.layers, engine.load_ms, engine.usual_prompt),
-        (80, 14_000.0, 775)
+        (
+            engine.layers,
+            engine.load_ms,
+            engine.usual_prompt,
+            engine.loads_most
+        ),
+        (80, 14_000.0, 775, Some(9))
     );
     assert_eq!(engine.delay_ms("b", "a"), 0.5);
     assert!(config.services[1].engine.is_none());
--- a/tests/gateway/fixture.rs
+++ b/tests/gateway/fixture.rs
@@ -29,6 +29,7 @@
         stride: 4,
         slots: 192,
         load_ms: 14_000.0,
+        loads_most: Some(6),
         usual_prompt: 775,
         usual_answer: 216,
         delays: vec![delay("a", "b"), delay("a", "c"), delay("b", "c")],
