--- a/src/gateway/repair.rs
+++ b/src/gateway/repair.rs
@@ -200,9 +200,10 @@
     for domain in domains {
         let hole = first_hole(engine, cards, domain);
         if let Some(hole) = hole {
-            let mut found = widen_neighbours(engine, cards, domain, hole);
+            // Neighbours that load more keep less KV memory for the whole chain: they come last.
+            let mut found = close_hole(engine, cards, domain, hole);
             if found.is_empty() {
-                found = close_hole(engine, cards, domain, hole);
+                found = widen_neighbours(engine, cards, domain, hole);
             }
             steps.extend(found);
         }
