--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -413,10 +413,14 @@
             break;
         }
     }
+    let text = String::from_utf8_lossy(&body).into_owned();
+    if end.is_ok() {
+        end = std::str::from_utf8(&body).map(|_| ()).map_err(Into::into);
+    }
     let answer = SiteAnswer {
         status: head.status.as_u16(),
         headers: head.headers,
-        body: String::from_utf8_lossy(&body).into_owned(),
+        body: text,
         longest_pause,
     };
     (answer, end)
