Let a keyed operation wait for the next owner of its key

Ruled out: handing partitions over without a gap (the entry hears of both ends by heartbeats of two processes, in any order); retrying at the caller.

Change: while replicas of the service live and none owns the partition, the operation waits for the next heartbeat that claims it, for 1 s and its deadline at most; with no replica it is refused at once as before. The test of operations that run at most once fails when its operation ends before it ran, where it hung.

--- a/src/entry/operation.rs
+++ b/src/entry/operation.rs
@@ -2,8 +2,9 @@
 //!
 //! An idempotent operation may be retried on another replica. A non-idempotent one with an
 //! idempotency key goes to the owner of the key, whose refusal is final; it is retried only when
-//! the receiver is not the owner or not a replica of a service. A non-idempotent one without a key
-//! goes to any replica, and is retried only when it has not run.
+//! the receiver is not the owner or not a replica of a service. While the key's partition is
+//! between two owners, the operation waits for the next one, for a limited time. A non-idempotent
+//! one without a key goes to any replica, and is retried only when it has not run.
 
 use std::collections::{BTreeMap, HashSet};
 
@@ -29,6 +30,10 @@
 const MAX_ATTEMPTS: u32 = 3;
 /// Time that the entry waits for an agent's reply to a cancellation, in milliseconds.
 const CANCEL_TIMEOUT_MS: u64 = 250;
+/// Longest wait for the next owner of a key, while replicas of the service live but none of them
+/// owns the key's partition, in milliseconds. A planned handover takes less; the partitions of a
+/// lost owner are taken only after its lease has expired, for which no caller is held.
+const OWNER_WAIT_MS: u64 = 1_000;
 /// `Retry-After` of refusals, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
@@ -51,6 +56,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OperationPhase {
+    /// Waiting for the next owner of the key, up to this time; sent to no one at present.
+    AwaitingOwner(ClockTime),
     /// Waiting for the reply of the target.
     Sent,
     /// Past the deadline, waiting for the target's reply to the cancellation.
@@ -77,6 +84,7 @@
 impl OperationSlot {
     fn next_wake(&self) -> ClockTime {
         match self.phase {
+            OperationPhase::AwaitingOwner(until) => until,
             OperationPhase::Cancelling => self.sent_at + CANCEL_TIMEOUT_MS,
             OperationPhase::Sent if self.work.idempotent => {
                 self.work.deadline.min(self.sent_at + ATTEMPT_TIMEOUT_MS)
@@ -227,12 +235,33 @@
         }
     }
 
+    /// Handles a heartbeat of an agent: operations that wait for an owner are sent if the agent now
+    /// owns their key, even if it was sent an earlier attempt and was not the owner then.
+    pub fn owner_changed(&mut self, cx: &mut EntryContext, from: &str) {
+        let waiting: Vec<RequestKey> = self
+            .slots
+            .iter()
+            .filter(|(_, slot)| matches!(slot.phase, OperationPhase::AwaitingOwner(_)))
+            .map(|(request_id, _)| *request_id)
+            .collect();
+        for request_id in waiting {
+            if let Some(mut slot) = self.slots.remove(&request_id) {
+                slot.avoid.remove(from);
+                self.send(cx, request_id, slot);
+            }
+        }
+    }
+
     fn handle_timeout(
         &mut self,
         cx: &mut EntryContext,
         request_id: RequestKey,
         mut slot: OperationSlot,
     ) {
+        if let OperationPhase::AwaitingOwner(_) = slot.phase {
+            refuse(cx, request_id, no_target_refusal(&slot));
+            return;
+        }
         if slot.phase == OperationPhase::Cancelling {
             cx.members.request_ended(&slot.target);
             refuse_at_deadline(cx, request_id, &slot, RunVerdict::MayHaveRun);
@@ -291,14 +320,16 @@
         self.slots.remove(&request_id)
     }
 
-    /// Sends the next attempt to a replica, or refuses the operation if there is none.
+    /// Sends the next attempt to a replica. If there is none, waits for the next owner of the key,
+    /// or refuses the operation if no replica lives that could become it.
     fn send(&mut self, cx: &mut EntryContext, request_id: RequestKey, mut slot: OperationSlot) {
         let Some(target) = choose_target(cx, &slot) else {
-            refuse(cx, request_id, no_target_refusal(&slot));
+            self.await_owner(cx, request_id, slot);
             return;
         };
         slot.attempt += 1;
         slot.sent_at = cx.now;
+        slot.phase = OperationPhase::Sent;
         slot.target = target;
         cx.members.request_started(&slot.target);
         let facts = format!("attempt={} chain={}", slot.attempt, slot.target);
@@ -310,6 +341,31 @@
         cx.send_message(&slot.target, Body::OperationCall(operation));
         self.slots.insert(request_id, slot);
     }
+
+    fn await_owner(
+        &mut self,
+        cx: &mut EntryContext,
+        request_id: RequestKey,
+        mut slot: OperationSlot,
+    ) {
+        let service = &slot.work.service;
+        let any_replica = cx
+            .members
+            .replicas_of_service(cx.now, service)
+            .next()
+            .is_some();
+        if !is_keyed(&slot) || !any_replica {
+            refuse(cx, request_id, no_target_refusal(&slot));
+            return;
+        }
+        if !matches!(slot.phase, OperationPhase::AwaitingOwner(_)) {
+            let until = slot.work.deadline.min(cx.now + OWNER_WAIT_MS);
+            slot.phase = OperationPhase::AwaitingOwner(until);
+        }
+        // A late reply or the loss of an earlier target no longer concerns the operation.
+        slot.target.clear();
+        self.slots.insert(request_id, slot);
+    }
 }
 
 /// Combines the verdict of the latest attempt with those of the earlier ones: the operation has not
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -350,6 +350,7 @@
                 let (key, change) =
                     members.apply_heartbeat(now, &from, message.incarnation, heartbeat);
                 self.handle_member_change(&from, change);
+                self.operations.owner_changed(&mut self.cx, &from);
                 let heartbeat_interval_ms = self.cx.members.heartbeat_interval_ms();
                 self.cx.members.set_heartbeat_interval(key, heartbeat_interval_ms);
                 let ack = self.build_heartbeat_ack(entries_hash, heartbeat_interval_ms);
--- a/standins/tests/failure.rs
+++ b/standins/tests/failure.rs
@@ -232,6 +232,11 @@
         .expect("ledger should be readable")
         == 0
     {
+        assert!(
+            !waiting.is_finished(),
+            "the operation ended before it ran: {:?}",
+            waiting.await
+        );
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     for agent in 0..2 {
