--- a/src/fetch.rs
+++ b/src/fetch.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use eyre::WrapErr;
 use http::header::CONTENT_TYPE;
-use http::{Method, Request};
+use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -106,8 +106,20 @@
     client: &HttpClient,
     request: Request<Full<Bytes>>,
 ) -> eyre::Result<(u16, Bytes)> {
-    let response = client.request(request).await?;
-    let status = response.status().as_u16();
-    let body = response.into_body().collect().await?.to_bytes();
-    Ok((status, body))
+    let response = send_whole(client, request).await?;
+    Ok((response.status().as_u16(), response.into_body()))
+}
+
+/// Sends a request and returns the response with its complete body.
+///
+/// # Errors
+///
+/// If the request cannot be sent or the response cannot be read.
+pub async fn send_whole(
+    client: &HttpClient,
+    request: Request<Full<Bytes>>,
+) -> eyre::Result<Response<Bytes>> {
+    let (head, body) = client.request(request).await?.into_parts();
+    let body = body.collect().await?.to_bytes();
+    Ok(Response::from_parts(head, body))
 }
--- a/src/gateway/discovery.rs
+++ b/src/gateway/discovery.rs
@@ -9,9 +9,8 @@
 use crate::gateway::sync::{StoreStatus, DISCOVERY_PAUSE_MS, REGISTRY_WATCH_MS};
 use crate::platform::kv::{KvStore, StoreChange, WatchOutcome};
 use crate::platform::GATEWAY_PREFIX;
-use crate::store::{
-    prefix_end, PlatformItem, PlatformRequest, PlatformResponse, PlatformStore, PlatformWrite,
-};
+use crate::store::position::StorePosition;
+use crate::store::{prefix_end, PlatformItem, PlatformRequest, PlatformResponse, PlatformWrite};
 
 /// Time to live of the lease on this gateway's registration, seconds.
 const GATEWAY_LEASE_S: i64 = 10;
@@ -21,18 +20,23 @@
 /// Keeps this gateway's address registered in the store under a lease.
 pub(super) async fn register(gateway: Arc<Gateway>, store: KvStore) {
     let mut status = StoreStatus::new("gateway_entry");
-    let mut lease = 0;
+    let mut lease: Option<GatewayLease> = None;
     loop {
         let result = match lease {
-            0 => create_registration(&gateway, &store).await,
-            lease => renew_lease(&store, lease).await,
+            None => create_registration(&gateway, &store).await.map(Some),
+            Some(lease) => renew_lease(&store, lease).await,
         };
         match result {
             Ok(next) => {
                 status.recover();
                 lease = next;
-                if lease != 0 {
-                    tokio::time::sleep(Duration::from_millis(GATEWAY_RENEW_MS)).await;
+                if let Some(held) = lease {
+                    let pause = tokio::time::sleep(Duration::from_millis(GATEWAY_RENEW_MS));
+                    tokio::select! {
+                        () = pause => {}
+                        // The restored store may lack the lease, or give out its id again.
+                        () = store.era_changed(held.era) => lease = None,
+                    }
                 }
             }
             Err(error) => status.back_off(gateway.clock.now(), &error).await,
@@ -40,11 +44,20 @@
     }
 }
 
-/// Writes this gateway's address under a new lease. Returns the id of the lease.
-async fn create_registration(gateway: &Gateway, store: &KvStore) -> Result<i64, String> {
+/// The lease on this gateway's registration, and the era of the store that granted it.
+#[derive(Clone, Copy, Debug)]
+struct GatewayLease {
+    id: i64,
+    era: u64,
+}
+
+/// Writes this gateway's address under a new lease. Returns the lease.
+async fn create_registration(gateway: &Gateway, store: &KvStore) -> Result<GatewayLease, String> {
     let ttl_s = GATEWAY_LEASE_S;
-    let lease = match store.send(PlatformRequest::LeaseGrant { ttl_s }).await {
-        Ok(PlatformResponse::Lease { lease, .. }) if lease > 0 => lease,
+    let lease = match store.request(PlatformRequest::LeaseGrant { ttl_s }).await {
+        Ok((PlatformResponse::Lease { lease, .. }, era)) if lease > 0 => {
+            GatewayLease { id: lease, era }
+        }
         other => return Err(format!("could not get a lease: {other:?}")),
     };
     let request = PlatformRequest::Txn {
@@ -52,25 +65,32 @@
         writes: vec![PlatformWrite::Put {
             key: format!("{GATEWAY_PREFIX}{}", gateway.config.name),
             value: gateway.config.message_address.to_string().into_bytes(),
-            lease,
+            lease: lease.id,
         }],
         reads: Vec::new(),
     };
-    match store.send(request).await {
-        Ok(PlatformResponse::Txn {
-            succeeded: true, ..
-        }) => Ok(lease),
+    match store.request(request).await {
+        Ok((
+            PlatformResponse::Txn {
+                succeeded: true, ..
+            },
+            era,
+        )) if era == lease.era => Ok(lease),
         other => Err(format!(
             "could not write the registration under {GATEWAY_PREFIX}: {other:?}"
         )),
     }
 }
 
-/// Renews a lease. Returns its id, or zero if the lease no longer exists.
-async fn renew_lease(store: &KvStore, lease: i64) -> Result<i64, String> {
-    match store.send(PlatformRequest::LeaseKeepAlive { lease }).await {
-        Ok(PlatformResponse::Lease { ttl_s, .. }) => Ok(if ttl_s > 0 { lease } else { 0 }),
-        other => Err(format!("could not renew lease {lease}: {other:?}")),
+/// Renews a lease. Returns `None` if it no longer exists, or if the store was restored since it was
+/// granted: the answer may then be about another lease with the same id.
+async fn renew_lease(store: &KvStore, lease: GatewayLease) -> Result<Option<GatewayLease>, String> {
+    let request = PlatformRequest::LeaseKeepAlive { lease: lease.id };
+    match store.request(request).await {
+        Ok((PlatformResponse::Lease { ttl_s, .. }, era)) => {
+            Ok(Some(lease).filter(|lease| ttl_s > 0 && era == lease.era))
+        }
+        other => Err(format!("could not renew lease {}: {other:?}", lease.id)),
     }
 }
 
@@ -79,20 +99,21 @@
 pub(super) async fn follow_gateways(gateway: Arc<Gateway>, store: KvStore) {
     let mut status = StoreStatus::new("gateways");
     let mut known: HashMap<String, SocketAddr> = HashMap::new();
-    let mut after_revision: Option<u64> = None;
+    let mut after: Option<StorePosition> = None;
     loop {
-        let result = match after_revision {
+        let result = match after {
             None => read_gateways(&store, &mut known).await,
-            Some(revision) => watch_gateways(&store, &mut known, revision).await,
+            Some(after) => watch_gateways(&store, &mut known, after).await,
         };
         match result {
             Ok(next) => {
                 status.recover();
-                after_revision = next;
+                after = next;
                 let own = gateway.config.message_address;
                 let others = known.values().copied().filter(|address| *address != own);
                 let mut others: Vec<SocketAddr> = others.collect();
                 others.sort_unstable();
+                gateway.state().peers_read = true;
                 if gateway.state().peer_addresses != others {
                     spdlog::info!("event=gateways_updated known={}", others.len() + 1);
                     gateway.state().peer_addresses = others;
@@ -107,18 +128,18 @@
 async fn read_gateways(
     store: &KvStore,
     known: &mut HashMap<String, SocketAddr>,
-) -> Result<Option<u64>, String> {
+) -> Result<Option<StorePosition>, String> {
     let request = PlatformRequest::Range {
         key: GATEWAY_PREFIX.to_owned(),
         range_end: prefix_end(GATEWAY_PREFIX),
     };
-    match store.send(request).await {
-        Ok(PlatformResponse::Range { revision, items }) => {
+    match store.request(request).await {
+        Ok((PlatformResponse::Range { revision, items }, era)) => {
             known.clear();
             for item in &items {
                 insert_gateway(known, item);
             }
-            Ok(Some(revision))
+            Ok(Some(StorePosition::new(era, revision)))
         }
         Ok(other) => Err(format!("unexpected response: {other:?}")),
         Err(error) => Err(error.0),
@@ -128,13 +149,10 @@
 async fn watch_gateways(
     store: &KvStore,
     known: &mut HashMap<String, SocketAddr>,
-    after_revision: u64,
-) -> Result<Option<u64>, String> {
-    match store
-        .watch(GATEWAY_PREFIX, after_revision, REGISTRY_WATCH_MS)
-        .await
-    {
-        Ok(WatchOutcome::Changes(changes, revision)) => {
+    after: StorePosition,
+) -> Result<Option<StorePosition>, String> {
+    match store.watch(GATEWAY_PREFIX, after, REGISTRY_WATCH_MS).await {
+        Ok(WatchOutcome::Changes(changes, position)) => {
             for change in &changes {
                 match change {
                     StoreChange::Put(item) => insert_gateway(known, item),
@@ -143,9 +161,9 @@
                     }
                 }
             }
-            Ok(Some(revision.max(after_revision)))
+            Ok(Some(position))
         }
-        Ok(WatchOutcome::Compacted) => Ok(None),
+        Ok(WatchOutcome::Compacted | WatchOutcome::Restored) => Ok(None),
         Err(error) => Err(error.0),
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -31,6 +31,9 @@
 /// `Retry-After` of a request refused during shutdown, milliseconds. It is short because the other
 /// VMs keep serving.
 const SHUTDOWN_RETRY_AFTER_MS: u64 = 50;
+/// `Retry-After` of a request that did not run in any of its attempts, milliseconds, unless all
+/// replicas ask to be left alone for longer.
+const FAILED_RETRY_AFTER_MS: u64 = 300;
 /// Longest wait of an interrupted stream for free capacity in another chain, counted from the
 /// failure, milliseconds. It is shorter than the pause between events that callers tolerate.
 const MAX_RESUME_WAIT_MS: u64 = 1_200;
@@ -326,7 +329,10 @@
                 verdict,
                 reason,
                 detail: format!("the last try ended as {}", failed.failure),
-                retry_after_ms: (verdict == RunVerdict::NotRun).then_some(300),
+                retry_after_ms: (verdict == RunVerdict::NotRun).then(|| {
+                    let service = &context.admitted.service;
+                    FAILED_RETRY_AFTER_MS.max(gateway.state().rest_ms(now, service))
+                }),
             };
             Some(refuse(
                 gateway,
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -30,6 +30,8 @@
     ReportedDead(UpstreamKey, u64),
     /// Factor by which the replica's work takes longer than nominal.
     Slowdown(UpstreamKey, f64),
+    /// The replica said to the peer that it is leaving.
+    Leaving(UpstreamKey),
 }
 
 #[derive(Debug)]
@@ -111,6 +113,9 @@
                 let ago_ms = u64::from(upstream_load.named_ago - 1);
                 reports.push(PeerReport::ReportedDead(key, ago_ms));
             }
+            if upstream_load.leaving {
+                reports.push(PeerReport::Leaving(key));
+            }
             if upstream_load.pace_milli > 0 {
                 let slowdown = f64::from(upstream_load.pace_milli) / 1_000.0;
                 reports.push(PeerReport::Slowdown(key, slowdown));
@@ -193,7 +198,10 @@
         for (key, record) in table.iter() {
             let reported_dead_ago = record.reported_dead_ago(now);
             let slowdown = record.direct_slowdown(now);
-            let active = record.in_flight > 0 || reported_dead_ago.is_some() || slowdown.is_some();
+            let active = record.in_flight > 0
+                || reported_dead_ago.is_some()
+                || slowdown.is_some()
+                || record.said_leaving;
             if !active && !self.active_keys.contains(&key) {
                 continue;
             }
@@ -208,6 +216,7 @@
                 pace_milli: slowdown.map_or(0, |slowdown| (slowdown * 1_000.0) as u32),
                 named_ago: reported_dead_ago
                     .map_or(0, |ago| u32::try_from(ago + 1).unwrap_or(u32::MAX)),
+                leaving: record.said_leaving,
             });
         }
         self.active_keys = active_keys;
@@ -215,7 +224,7 @@
         let mut messages: Vec<GatewayLoad> = chunks
             .map(|chunk| GatewayLoad {
                 loads: chunk.to_vec(),
-                pipes: Vec::new(),
+                ..GatewayLoad::default()
             })
             .collect();
         if messages.is_empty() {
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -49,7 +49,8 @@
     let (messages, peers) = {
         let state = &mut *gateway.state();
         state.peers.refresh_totals(now);
-        let messages = state.peers.load_messages(now, &state.upstreams);
+        let mut messages = state.peers.load_messages(now, &state.upstreams);
+        messages[0].config_version = state.routes.config().version;
         state.upstreams.reset_unreported();
         (messages, state.peer_addresses.clone())
     };
@@ -97,6 +98,12 @@
     };
     let now = gateway.clock.now();
     let state = &mut *gateway.state();
+    if state.apply_peer_version(load.config_version) {
+        spdlog::debug!(
+            "event=peer_has_newer_config version={} peer={from}",
+            load.config_version
+        );
+    }
     for update in state
         .peers
         .apply_report(now, &envelope.sender, &load, &state.upstreams)
@@ -110,6 +117,12 @@
                     );
                 }
             }
+            PeerReport::Leaving(key) => {
+                if state.upstreams.mark_draining(key) {
+                    let id = &state.upstreams.get(key).entry.id;
+                    spdlog::info!("event=upstream_leaving id={id} peer={from}");
+                }
+            }
             PeerReport::Slowdown(key, slowdown) => {
                 if state.upstreams.apply_slowdown(now, key, slowdown, false) {
                     let id = &state.upstreams.get(key).entry.id;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -7,9 +7,10 @@
 
 use crate::clock::ClockTime;
 use crate::gateway::catalog::{EngineRule, ServingConfig};
-use crate::gateway::plan::{add_spare, plan_service, PlacementPlan, PlanAccelerator};
+use crate::gateway::plan::{add_spare, plan_service, PlacementPlan, PlanAccelerator, PlanSlot};
 use crate::gateway::repair::{repair_steps, RepairStep};
 use crate::gateway::upstream::{LayerRange, UpstreamEntry, UpstreamKey, UpstreamTable};
+use crate::store::position::StorePosition;
 
 /// Time to live of the placement lease without renewal, milliseconds.
 pub const LEASE_MS: u64 = 3_000;
@@ -56,7 +57,7 @@
     /// Is the lease holder until `expires_at`.
     Holding {
         lease: i64,
-        token: u64,
+        token: StorePosition,
         expires_at: ClockTime,
         renew_at: ClockTime,
     },
@@ -69,9 +70,9 @@
     pub upstream: UpstreamKey,
     /// Layers that the replica should hold once it has loaded them.
     pub layers: LayerRange,
-    /// Fencing token of the lease holder: the store revision at which it wrote the placement lease
-    /// key.
-    pub token: u64,
+    /// Fencing token of the lease holder: the position in the store's history at which it wrote the
+    /// placement lease key. It rises also across restores of the store.
+    pub token: StorePosition,
     /// Number of orders that the replica is expected to have accepted before this one. A replica
     /// with another count refuses the order.
     pub sequence: u64,
@@ -107,12 +108,14 @@
     /// Result of [`PlacementOutput::RequestLease`]: the lease's id and the time at which it was
     /// requested, or `None` if the store granted none.
     LeaseGranted(Option<(i64, ClockTime)>),
-    /// Result of [`PlacementOutput::ClaimLease`]: the store revision of the write, or `None` if it
-    /// failed.
-    LeaseClaimed(Option<u64>),
+    /// Result of [`PlacementOutput::ClaimLease`]: the position of the write, or `None` if it failed.
+    LeaseClaimed(Option<StorePosition>),
     /// Result of [`PlacementOutput::RenewLease`]: whether the lease still exists, and the time at
     /// which the renewal was requested.
     LeaseRenewed(bool, ClockTime),
+    /// The store was restored from an older copy, which raised its era to this one. The copy may
+    /// lack the lease, and give out its id again.
+    StoreRestored(u64),
     /// Result of [`PlacementOutput::ReadPlan`]: the stored plan, or `None` if there is none or it
     /// could not be read.
     PlanRead(Option<PlacementPlan>),
@@ -137,8 +140,8 @@
     RevokeLease(i64),
     /// Read the plan from the store.
     ReadPlan,
-    /// Store the plan, if the placement lease key was last written at this store revision.
-    StorePlan(PlacementPlan, u64),
+    /// Store the plan, if the placement lease key was last written at this position.
+    StorePlan(PlacementPlan, StorePosition),
     /// Send an order to a replica and report its outcome.
     SendOrder(PlacementOrder),
     /// Write a decision to the log, as key=value pairs.
@@ -230,9 +233,13 @@
             PlacementInput::LeaseRenewed(lease_exists, sent) => {
                 self.on_renewed(now, lease_exists, sent, &mut outputs)
             }
+            PlacementInput::StoreRestored(era) => self.on_restored(now, era, &mut outputs),
             PlacementInput::PlanRead(plan) => {
                 self.plan_read = true;
-                self.plan = plan.filter(|plan| matches_config(plan, config));
+                let era = self.token_era();
+                // A plan of an earlier era may be older than what replicas were ordered to hold.
+                self.plan =
+                    plan.filter(|plan| Some(plan.era) == era && matches_config(plan, config));
             }
             PlacementInput::OrderAnswered(key, reply) => {
                 self.on_order_reply(now, key, reply, &mut outputs)
@@ -305,7 +312,7 @@
     fn on_claimed(
         &mut self,
         now: ClockTime,
-        token: Option<u64>,
+        token: Option<StorePosition>,
         outputs: &mut Vec<PlacementOutput>,
     ) {
         let LeasePhase::Claiming { lease, expires_at } = self.phase else {
@@ -349,6 +356,36 @@
         }
     }
 
+    /// Gives up a lease of an earlier era without revoking it: its id may be another VM's by now.
+    fn on_restored(&mut self, now: ClockTime, era: u64, outputs: &mut Vec<PlacementOutput>) {
+        let reclaim = match self.phase {
+            LeasePhase::Holding { token, .. } if token.era < era => {
+                outputs.push(PlacementOutput::Log(format!(
+                    "lease=lost token={token} reason=\"the store was restored, era {era}\""
+                )));
+                true
+            }
+            LeasePhase::RequestingLease | LeasePhase::Claiming { .. } => true,
+            LeasePhase::Idle { .. } | LeasePhase::AwaitingVacancy | LeasePhase::Holding { .. } => {
+                false
+            }
+        };
+        if reclaim {
+            self.phase = LeasePhase::Idle {
+                claim_at: now + CLAIM_RETRY_MS,
+            };
+            self.pending.clear();
+        }
+    }
+
+    /// Era of the store in which the lease was acquired. `None` if the lease is not held.
+    fn token_era(&self) -> Option<u64> {
+        match self.phase {
+            LeasePhase::Holding { token, .. } => Some(token.era),
+            _ => None,
+        }
+    }
+
     fn step_down(&mut self, now: ClockTime, reason: &str, outputs: &mut Vec<PlacementOutput>) {
         if let LeasePhase::Holding { lease, token, .. } = self.phase {
             outputs.push(PlacementOutput::Log(format!(
@@ -453,15 +490,15 @@
     }
 
     /// Returns the plan in force, whichever service it was made for. If there is none, makes one
-    /// for `service` once its replicas have registered. `None` before that, or if the accelerators
-    /// cannot hold the model.
+    /// for `service` once its replicas have registered: from what they hold, or a new one if that
+    /// is not the whole model. `None` before that, or if the accelerators cannot hold the model.
     fn ensure_plan(
         &mut self,
         now: ClockTime,
         service: &str,
         engine: &EngineRule,
         table: &UpstreamTable,
-        token: u64,
+        token: StorePosition,
         outputs: &mut Vec<PlacementOutput>,
     ) -> Option<PlacementPlan> {
         if let Some(plan) = &self.plan {
@@ -481,12 +518,15 @@
         {
             return None;
         }
-        let plan = plan_service(engine, &accelerators);
+        let held = held_plan(engine, service, table);
+        let origin = if held.is_some() { "rebuilt" } else { "created" };
+        let mut plan = held.unwrap_or_else(|| plan_service(engine, &accelerators));
         if plan.slots.is_empty() {
             return None;
         }
+        plan.era = token.era;
         outputs.push(PlacementOutput::Log(format!(
-            "plan=created accelerators={} slots={}",
+            "plan={origin} accelerators={} slots={}",
             accelerators.len(),
             plan.slots.len()
         )));
@@ -539,7 +579,7 @@
         step: RepairStep,
         engine: &EngineRule,
         table: &UpstreamTable,
-        token: u64,
+        token: StorePosition,
         outputs: &mut Vec<PlacementOutput>,
     ) {
         let RepairStep {
@@ -589,6 +629,43 @@
     }
 }
 
+/// Returns the plan that the registered replicas of a service fulfil with the layers that they hold,
+/// and spare slots for the others. `None` if they do not hold every layer.
+fn held_plan(engine: &EngineRule, service: &str, table: &UpstreamTable) -> Option<PlacementPlan> {
+    let records = table.iter().map(|(_, record)| record);
+    let registered =
+        records.filter(|record| record.entry.service == service && record.registered());
+    let (holders, empty): (Vec<&UpstreamEntry>, Vec<&UpstreamEntry>) = registered
+        .map(|record| &record.entry)
+        .partition(|entry| !entry.layers.is_empty());
+    let mut plan = PlacementPlan::default();
+    for entry in holders {
+        let held_in_domain = plan
+            .slots
+            .iter()
+            .any(|slot| slot.domain == entry.domain && slot.layers() == entry.layers);
+        plan.slots.push(PlanSlot {
+            id: entry.id.clone(),
+            domain: entry.domain.clone(),
+            kind: entry.kind.clone(),
+            from: entry.layers.from,
+            to: entry.layers.to,
+            spare: held_in_domain,
+        });
+    }
+    let is_held = |layer| {
+        let mut slots = plan.slots.iter();
+        slots.any(|slot| slot.from <= layer && layer < slot.to)
+    };
+    if !(0..engine.layers).all(is_held) {
+        return None;
+    }
+    for entry in empty {
+        add_spare(engine, &plan_accelerator(entry), &mut plan);
+    }
+    Some(plan)
+}
+
 fn plan_accelerator(entry: &UpstreamEntry) -> PlanAccelerator {
     PlanAccelerator {
         id: entry.id.clone(),
--- a/src/gateway/placement_runner.rs
+++ b/src/gateway/placement_runner.rs
@@ -7,21 +7,19 @@
 
 use tokio::sync::{mpsc, oneshot};
 
-use crate::fetch;
 use crate::gateway::placement::{
     OrderReply, PlacementController, PlacementInput, PlacementOrder, PlacementOutput, LEASE_MS,
 };
 use crate::gateway::plan::PlacementPlan;
-use crate::gateway::reroute::fetch_report;
+use crate::gateway::reroute::{fetch_report, send_to_replica};
 use crate::gateway::run::Gateway;
 use crate::gateway::sync::REGISTRY_WATCH_MS;
 use crate::gateway::upstream::UpstreamKey;
-use crate::platform::kv::{KvStore, StoreChange, WatchOutcome};
+use crate::platform::kv::{KvStore, PositionedResult, StoreChange, WatchOutcome};
 use crate::platform::order::{order_reply, place_request};
 use crate::platform::{PLACEMENT_LEASE_KEY, PLAN_KEY};
-use crate::store::{
-    PlatformCompare, PlatformRequest, PlatformResponse, PlatformStore, PlatformWrite,
-};
+use crate::store::position::StorePosition;
+use crate::store::{PlatformCompare, PlatformRequest, PlatformResponse, PlatformWrite};
 
 /// Interval between two ticks of the placement controller, milliseconds.
 const CONTROLLER_TICK_MS: u64 = 150;
@@ -64,6 +62,7 @@
     let (input_sender, mut input_receiver) = mpsc::channel(256);
     let mut tick = tokio::time::interval(Duration::from_millis(CONTROLLER_TICK_MS));
     let mut queried_at = gateway.clock.now();
+    let mut era = store.era();
     loop {
         let input = tokio::select! {
             input = input_receiver.recv() => match input {
@@ -71,6 +70,10 @@
                 None => return,
             },
             _ = tick.tick() => PlacementInput::Tick,
+            () = store.era_changed(era) => {
+                era = store.era();
+                PlacementInput::StoreRestored(era)
+            }
             done = release_receiver.recv() => {
                 for output in controller.release() {
                     execute(&gateway, &store, output).await;
@@ -124,7 +127,7 @@
     let count = u64::try_from(replicas.len()).unwrap_or(u64::MAX).max(1);
     for (key, address, id) in replicas {
         tokio::time::sleep(Duration::from_millis(SLOWDOWN_SPREAD_MS / count)).await;
-        let Some(report) = fetch_report(&gateway, address, &id).await else {
+        let Some(report) = fetch_report(&gateway, key, address, &id).await else {
             continue;
         };
         let now = gateway.clock.now();
@@ -159,8 +162,8 @@
                 ttl_s: i64::try_from(LEASE_MS / 1_000).unwrap_or(1),
             };
             Some(PlacementInput::LeaseGranted(
-                match store.send(request).await {
-                    Ok(PlatformResponse::Lease { lease, .. }) if lease > 0 => {
+                match store.request(request).await {
+                    Ok((PlatformResponse::Lease { lease, .. }, _)) if lease > 0 => {
                         Some((lease, requested_at))
                     }
                     other => {
@@ -174,11 +177,15 @@
             claim(gateway, store, lease).await,
         )),
         PlacementOutput::RenewLease(lease) => {
-            let result = store.send(PlatformRequest::LeaseKeepAlive { lease }).await;
+            let era = store.era();
+            let result = store
+                .request(PlatformRequest::LeaseKeepAlive { lease })
+                .await;
             match result {
-                Ok(PlatformResponse::Lease { ttl_s, .. }) => {
-                    Some(PlacementInput::LeaseRenewed(ttl_s > 0, requested_at))
-                }
+                // After a restore the answer may be about another VM's lease with the same id.
+                Ok((PlatformResponse::Lease { ttl_s, .. }, answered_in)) => Some(
+                    PlacementInput::LeaseRenewed(ttl_s > 0 && answered_in == era, requested_at),
+                ),
                 other => {
                     log_unexpected("renew", &other);
                     None
@@ -186,7 +193,7 @@
             }
         }
         PlacementOutput::RevokeLease(lease) => {
-            let result = store.send(PlatformRequest::LeaseRevoke { lease }).await;
+            let result = store.request(PlatformRequest::LeaseRevoke { lease }).await;
             if result.is_err() {
                 log_unexpected("release", &result);
             }
@@ -210,7 +217,7 @@
 }
 
 /// Logs a store request that failed or returned an unexpected response.
-fn log_unexpected(operation: &str, result: &crate::store::PlatformResult) {
+fn log_unexpected(operation: &str, result: &PositionedResult) {
     spdlog::warn!("event=store_request_failed operation={operation} result={result:?}");
 }
 
@@ -221,8 +228,10 @@
         key: PLACEMENT_LEASE_KEY.to_owned(),
         range_end: String::new(),
     };
-    let (mut after_revision, items) = match store.send(request).await {
-        Ok(PlatformResponse::Range { revision, items }) => (revision, items),
+    let (mut after, items) = match store.request(request).await {
+        Ok((PlatformResponse::Range { revision, items }, era)) => {
+            (StorePosition::new(era, revision), items)
+        }
         _ => return false,
     };
     if items
@@ -233,26 +242,26 @@
     }
     loop {
         match store
-            .watch(PLACEMENT_LEASE_KEY, after_revision, REGISTRY_WATCH_MS)
+            .watch(PLACEMENT_LEASE_KEY, after, REGISTRY_WATCH_MS)
             .await
         {
-            Ok(WatchOutcome::Changes(changes, revision)) => {
+            Ok(WatchOutcome::Changes(changes, position)) => {
                 let removed = |change: &StoreChange| matches!(change, StoreChange::Removed { .. });
                 if changes.last().is_some_and(removed) {
                     return true;
                 }
-                after_revision = revision.max(after_revision);
+                after = position;
             }
             // The controller reads the key again after a pause.
-            Ok(WatchOutcome::Compacted) | Err(_) => return false,
+            Ok(WatchOutcome::Compacted | WatchOutcome::Restored) | Err(_) => return false,
         }
     }
 }
 
 /// Writes the placement lease key if it does not exist or was written by an earlier process of this
-/// VM. Returns the revision of the write, or `None` if another gateway holds the lease or the
+/// VM. Returns the position of the write, or `None` if another gateway holds the lease or the
 /// request failed.
-async fn claim(gateway: &Gateway, store: &KvStore, lease: i64) -> Option<u64> {
+async fn claim(gateway: &Gateway, store: &KvStore, lease: i64) -> Option<StorePosition> {
     let mut expected_revision = 0;
     loop {
         let request = PlatformRequest::Txn {
@@ -267,13 +276,16 @@
             }],
             reads: Vec::new(),
         };
-        match store.send(request).await {
-            Ok(PlatformResponse::Txn {
-                succeeded: true,
-                revision,
-                ..
-            }) => return Some(revision),
-            Ok(PlatformResponse::Txn { items, .. }) => {
+        match store.request(request).await {
+            Ok((
+                PlatformResponse::Txn {
+                    succeeded: true,
+                    revision,
+                    ..
+                },
+                era,
+            )) => return Some(StorePosition::new(era, revision)),
+            Ok((PlatformResponse::Txn { items, .. }, _)) => {
                 let own_name = gateway.config.name.as_bytes();
                 let stale = items.iter().find(|item| item.value == own_name);
                 match stale.filter(|_| expected_revision == 0) {
@@ -295,8 +307,8 @@
         key: PLAN_KEY.to_owned(),
         range_end: String::new(),
     };
-    match store.send(request).await {
-        Ok(PlatformResponse::Range { items, .. }) => {
+    match store.request(request).await {
+        Ok((PlatformResponse::Range { items, .. }, _)) => {
             let item = items.into_iter().next()?;
             match serde_json::from_slice(&item.value) {
                 Ok(plan) => Some(plan),
@@ -313,9 +325,12 @@
     }
 }
 
-/// Writes the plan to the store, provided that the placement lease key was last written at revision
-/// `token`.
-async fn store_plan(store: &KvStore, plan: &PlacementPlan, token: u64) {
+/// Writes the plan to the store, provided that the placement lease key was last written at `token`.
+async fn store_plan(store: &KvStore, plan: &PlacementPlan, token: StorePosition) {
+    // The same revision of a later era belongs to another write.
+    if store.era() != token.era {
+        return;
+    }
     let value = match serde_json::to_vec(plan) {
         Ok(value) => value,
         Err(error) => {
@@ -326,7 +341,7 @@
     let request = PlatformRequest::Txn {
         compares: vec![PlatformCompare::ModRevision(
             PLACEMENT_LEASE_KEY.to_owned(),
-            token,
+            token.revision,
         )],
         writes: vec![PlatformWrite::Put {
             key: PLAN_KEY.to_owned(),
@@ -335,13 +350,16 @@
         }],
         reads: Vec::new(),
     };
-    let result = store.send(request).await;
+    let result = store.request(request).await;
     if !matches!(
         result,
-        Ok(PlatformResponse::Txn {
-            succeeded: true,
-            ..
-        })
+        Ok((
+            PlatformResponse::Txn {
+                succeeded: true,
+                ..
+            },
+            _
+        ))
     ) {
         log_unexpected("keep_plan", &result);
     }
@@ -355,32 +373,32 @@
         let entry = &state.upstreams.get(order.upstream).entry;
         (entry.address, entry.id.clone())
     };
-    let request = match place_request(address, &id, order.layers, order.token, order.sequence) {
-        Ok(request) => request,
-        Err(error) => {
-            spdlog::error!("event=order_encode_failed upstream={id} error=\"{error:#}\"");
-            return OrderReply::Rejected;
-        }
+    let Some(token) = order.token.fencing_token() else {
+        spdlog::error!(
+            "event=order_encode_failed upstream={id} error=\"the token {} is too large\"",
+            order.token
+        );
+        return OrderReply::Rejected;
     };
-    let sent = fetch::send(&gateway.client, request);
-    match tokio::time::timeout(Duration::from_millis(ORDER_TIMEOUT_MS), sent).await {
-        Ok(Ok((status, body))) => {
+    let request = place_request(address, &id, order.layers, token, order.sequence);
+    if let Err(error) = &request {
+        spdlog::error!("event=order_encode_failed upstream={id} error=\"{error:#}\"");
+        return OrderReply::Rejected;
+    }
+    match send_to_replica(gateway, order.upstream, request, ORDER_TIMEOUT_MS).await {
+        Some((status, body)) => {
             if status >= 300 {
                 let text = String::from_utf8_lossy(&body);
                 spdlog::warn!("event=order_refused upstream={id} status={status} body=\"{text}\"");
             }
             match order_reply(status) {
                 OrderReply::Conflict(_) => {
-                    let report = fetch_report(gateway, address, &id).await;
+                    let report = fetch_report(gateway, order.upstream, address, &id).await;
                     OrderReply::Conflict(report.map(|report| report.accepted_orders))
                 }
                 reply => reply,
             }
         }
-        Ok(Err(error)) => {
-            spdlog::warn!("event=order_failed upstream={id} error=\"{error:#}\"");
-            OrderReply::Unanswered
-        }
-        Err(_) => OrderReply::Unanswered,
+        None => OrderReply::Unanswered,
     }
 }
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -74,6 +74,10 @@
 pub struct PlacementPlan {
     /// Planned ranges, one for each accelerator that gets layers.
     pub slots: Vec<PlanSlot>,
+    /// Era of the store for which the plan was stored. A plan of an earlier one was read from the
+    /// copy that the store was restored from.
+    #[serde(default)]
+    pub era: u64,
 }
 
 /// An accelerator and the number of layers that the plan gives it.
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
+use http::{Request, StatusCode};
 use http_body_util::Full;
 
 use crate::gateway::forward::RequestContext;
@@ -14,7 +14,7 @@
 use crate::gateway::state::SendTarget;
 use crate::gateway::upstream::UpstreamKey;
 use crate::gateway::upstream_attempt::UpstreamAttempt;
-use crate::platform::headers::chain_text;
+use crate::platform::headers::{chain_text, is_leaving};
 use crate::platform::order::{
     decode_report, fault_address, repath_request, report_request, ReplicaReport, StalledRequest,
 };
@@ -197,9 +197,14 @@
         return Some(report.stalled);
     }
     let stalled = Arc::new(
-        fetch_report(gateway, target.address, &target.upstream_id)
-            .await?
-            .stalled,
+        fetch_report(
+            gateway,
+            target.upstream,
+            target.address,
+            &target.upstream_id,
+        )
+        .await?
+        .stalled,
     );
     let report = StalledReport {
         requested_at,
@@ -228,7 +233,7 @@
         &context.meta.id,
         &target.path,
     );
-    let reply = send_to_replica(gateway, order, REROUTE_TIMEOUT_MS).await;
+    let reply = send_to_replica(gateway, target.upstream, order, REROUTE_TIMEOUT_MS).await;
     let status = reply.as_ref().map(|(status, _)| *status);
     spdlog::info!(
         "event=reroute_order_ended request={} upstream={} fault={fault:?} status={status:?}",
@@ -258,11 +263,12 @@
 /// the report is invalid.
 pub async fn fetch_report(
     gateway: &Gateway,
+    key: UpstreamKey,
     address: SocketAddr,
     id: &str,
 ) -> Option<ReplicaReport> {
-    let (status, body) =
-        send_to_replica(gateway, report_request(address), REPORT_TIMEOUT_MS).await?;
+    let request = report_request(address);
+    let (status, body) = send_to_replica(gateway, key, request, REPORT_TIMEOUT_MS).await?;
     if status != 200 {
         spdlog::warn!("event=report_refused upstream={id} status={status}");
         return None;
@@ -276,10 +282,24 @@
     }
 }
 
-/// Sends a request to a replica and returns the status and body, or `None` if it fails or is not
-/// answered within `timeout_ms`.
-async fn send_to_replica(
+/// Records that a replica says that it is leaving: it gets no new requests from this gateway, and
+/// the peers are told.
+pub fn note_leaving(gateway: &Gateway, key: UpstreamKey) {
+    let mut state = gateway.state();
+    if state.upstreams.mark_leaving(key) {
+        let id = state.upstreams.get(key).entry.id.clone();
+        drop(state);
+        gateway.peer_update.notify_one();
+        spdlog::info!("event=upstream_leaving id={id}");
+    }
+}
+
+/// Sends a request of this gateway's own to a replica and returns the status and body, or `None` if
+/// it fails or is not answered within `timeout_ms`. Heeds whether the replica says that it is
+/// leaving.
+pub(super) async fn send_to_replica(
     gateway: &Gateway,
+    key: UpstreamKey,
     request: eyre::Result<Request<Full<Bytes>>>,
     timeout_ms: u64,
 ) -> Option<(u16, Bytes)> {
@@ -290,9 +310,16 @@
             return None;
         }
     };
-    let exchange = crate::fetch::send(&gateway.client, request);
+    let exchange = crate::fetch::send_whole(&gateway.client, request);
     match tokio::time::timeout(Duration::from_millis(timeout_ms), exchange).await {
-        Ok(Ok(reply)) => Some(reply),
+        Ok(Ok(response)) => {
+            // A 421 comes from another replica, which has the address now.
+            let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST;
+            if !is_other && is_leaving(response.headers()) {
+                note_leaving(gateway, key);
+            }
+            Some((response.status().as_u16(), response.into_body()))
+        }
         Ok(Err(error)) => {
             spdlog::warn!("event=replica_request_failed error=\"{error:#}\"");
             None
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -21,6 +21,10 @@
 const UNREADY_RETRY_MS: u64 = 100;
 /// `retry_after_ms` of a refusal because no chain or replica can take the request, milliseconds.
 const NO_UPSTREAM_RETRY_MS: u64 = 500;
+/// Time from the first answer of the store within which a peer tells a VM that has just started
+/// which version of the configuration it has, milliseconds: it finds the new VM in the store, and
+/// then reports to it at once.
+const PEER_VERSION_WAIT_MS: u64 = 2_000;
 /// Upper bound of the random load added to each replica of a plain service, so that gateways with
 /// the same view do not all choose the same one.
 const LOAD_NOISE: f64 = 0.1;
@@ -108,6 +112,20 @@
     pub links: Vec<LinkKey>,
 }
 
+/// What an answer of the store proves of the configuration in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfigProof {
+    /// It was the newest when the store was asked.
+    Renewed,
+    /// Nothing.
+    Withheld {
+        /// Newest version that this gateway has or was told of.
+        newest: u64,
+        /// Whether the reason differs from that of the last answer that proved nothing.
+        is_new: bool,
+    },
+}
+
 /// The state on which a gateway bases its decisions about requests. Its methods do no I/O.
 #[derive(Debug)]
 pub struct GatewayState {
@@ -117,10 +135,18 @@
     pub upstreams: UpstreamTable,
     /// Proof that the configuration in force is the newest, needed to serve requests with a key.
     pub proof: FreshnessProof,
+    /// Newest version of the configuration that a peer said to have; zero if none did.
+    peer_version: u64,
+    /// Time of the first answer of the store about the configuration.
+    started_at: Option<ClockTime>,
+    /// Versions that the store had and that were known, when an answer last proved nothing.
+    withheld_proof: Option<(u64, u64)>,
     /// Load that other gateways report, and this gateway's use of links.
     pub peers: PeerTable,
     /// Addresses at which other gateways receive peer messages.
     pub peer_addresses: Vec<SocketAddr>,
+    /// Whether the addresses were read from the store since the start.
+    pub peers_read: bool,
     /// Whether a graceful shutdown has begun.
     pub draining: bool,
     setup: GatewaySetup,
@@ -136,7 +162,11 @@
             upstreams: UpstreamTable::default(),
             peers: PeerTable::default(),
             peer_addresses: Vec::new(),
+            peers_read: false,
             proof: FreshnessProof::new(setup.revoke_ms),
+            peer_version: 0,
+            started_at: None,
+            withheld_proof: None,
             draining: false,
             budgets: HashMap::new(),
             rng: Pcg64Mcg::seed_from_u64(setup.rng_seed),
@@ -150,6 +180,51 @@
         self.routes.apply(config)
     }
 
+    /// Records that a peer has a version of the configuration in force. Returns whether it is newer
+    /// than any that this gateway knew of.
+    pub fn apply_peer_version(&mut self, version: u64) -> bool {
+        let is_new = version > self.newest_version();
+        self.peer_version = self.peer_version.max(version);
+        is_new
+    }
+
+    /// The newest version of the configuration that this gateway has or was told of.
+    pub fn newest_version(&self) -> u64 {
+        self.routes.config().version.max(self.peer_version)
+    }
+
+    /// Decides whether an answer of the store to a query sent at `queried_at` proves that the
+    /// configuration in force is the newest. `stored_version` is the version that the store has, zero
+    /// for none. It proves nothing if the store has an older one than this gateway or a peer knows
+    /// of: such a store was restored from an older copy, and may lack yet newer ones.
+    pub fn confirm_config(
+        &mut self,
+        now: ClockTime,
+        queried_at: ClockTime,
+        era: u64,
+        stored_version: u64,
+    ) -> ConfigProof {
+        let newest = self.newest_version();
+        let started_at = *self.started_at.get_or_insert(now);
+        // A VM that has just started cannot tell a copy from the newest state. Its peers can, and
+        // tell it within this time; only a store that states its era is ever restored.
+        let is_alone = self.peers_read && self.peer_addresses.is_empty();
+        let peers_asked = era == 0
+            || is_alone
+            || self.proof.age(now).is_some()
+            || self.peer_version > 0
+            || now.since(started_at) >= PEER_VERSION_WAIT_MS;
+        if stored_version < newest || !peers_asked {
+            let withheld = Some((stored_version, newest));
+            let is_new = self.withheld_proof != withheld;
+            self.withheld_proof = withheld;
+            return ConfigProof::Withheld { newest, is_new };
+        }
+        self.withheld_proof = None;
+        self.proof.renew(queried_at);
+        ConfigProof::Renewed
+    }
+
     /// Whether new callers may be directed to this VM: it is not shutting down, its freshness proof
     /// is fresh, and every layer of every model is held by a registered replica.
     pub fn ready(&self, now: ClockTime) -> bool {
@@ -287,11 +362,9 @@
             current: &current,
             peers: &self.peers,
         };
-        let chain = choose_chain(&self.upstreams, &query, &mut self.rng).ok_or_else(|| {
-            let detail = "no chain of replicas over all layers has room";
-            RequestRefusal::not_run(RefusalReason::NoUpstream, detail)
-                .retry_after(NO_UPSTREAM_RETRY_MS)
-        })?;
+        let Some(chain) = choose_chain(&self.upstreams, &query, &mut self.rng) else {
+            return Err(self.no_target_refusal(now, &request.service));
+        };
         let tokens = request.prompt_tokens + request.expected_answer_tokens;
         let reservations = chain
             .iter()
@@ -311,6 +384,9 @@
             if record.entry.service != request.service || !record.registered() {
                 continue;
             }
+            if record.resting(now) {
+                continue;
+            }
             let load = f64::from(record.in_flight) / f64::from(record.entry.slots.max(1));
             let remote = record.entry.domain != self.setup.domain;
             let noise = LOAD_NOISE * self.rng.random::<f64>();
@@ -323,13 +399,38 @@
             }
         }
         let Some((_, key)) = best else {
-            let detail = "no replica of the service is known";
-            let refusal = RequestRefusal::not_run(RefusalReason::NoUpstream, detail);
-            return Err(refusal.retry_after(NO_UPSTREAM_RETRY_MS));
+            return Err(self.no_target_refusal(now, &request.service));
         };
         Ok(self.reserve_target(key, Vec::new(), vec![(key, 0.0)]))
     }
 
+    /// Time until the first replica of a service may be asked again, milliseconds: zero unless all
+    /// of them asked to be left alone.
+    pub fn rest_ms(&self, now: ClockTime, service: &str) -> u64 {
+        let records = self.upstreams.iter().map(|(_, record)| record);
+        let registered =
+            records.filter(|record| record.entry.service == service && record.registered());
+        let rests = registered.map(|record| record.rest_ms(now));
+        rests.min().unwrap_or(0)
+    }
+
+    /// Returns the refusal of a request that no chain or replica of a service can take. If all its
+    /// replicas asked to be left alone, it says when the first of them may be asked again, and is
+    /// not worth waiting for at the gateway.
+    fn no_target_refusal(&self, now: ClockTime, service: &str) -> RequestRefusal {
+        match self.rest_ms(now, service) {
+            0 => {
+                let detail = "no replicas of the service have room";
+                RequestRefusal::not_run(RefusalReason::NoUpstream, detail)
+                    .retry_after(NO_UPSTREAM_RETRY_MS)
+            }
+            rest_ms => {
+                let detail = "all replicas of the service ask to be left alone";
+                RequestRefusal::not_run(RefusalReason::Busy, detail).retry_after(rest_ms)
+            }
+        }
+    }
+
     fn reserve_target(
         &mut self,
         upstream: UpstreamKey,
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -11,11 +11,13 @@
 use crate::gateway::discovery::{follow_gateways, register};
 use crate::gateway::placement_runner::{run_placement, PlacementHandle};
 use crate::gateway::run::Gateway;
+use crate::gateway::state::ConfigProof;
 use crate::platform::kv::{KvStore, StoreChange, WatchOutcome};
 use crate::platform::registry::{decode_entry, entry_id};
 use crate::platform::serving_config::decode_config;
 use crate::platform::{CONFIG_KEY, REGISTRY_PREFIX};
-use crate::store::{prefix_end, PlatformItem, PlatformRequest, PlatformResponse, PlatformStore};
+use crate::store::position::StorePosition;
+use crate::store::{prefix_end, PlatformItem, PlatformRequest, PlatformResponse};
 
 /// Longest wait of one configuration watch, as a fraction of `revoke_ms`, the bound within which a
 /// revoked key stops working. The response proves that no newer configuration existed when the
@@ -41,7 +43,7 @@
 const RETRY_BASE_MS: u64 = 80;
 /// Longest pause after a failed store request, milliseconds.
 const MAX_RETRY_MS: u64 = 640;
-/// After a failed store request, milliseconds: for this time a removed registry entry may have
+/// After a failed store request or a restore of the store, milliseconds: for this time a removed registry entry may have
 /// expired only because its upstream could not reach the store to renew it.
 const EXPIRY_DOUBT_MS: u64 = 5_000;
 
@@ -108,7 +110,12 @@
         }
     }
 
-    /// Whether a request failed within the last [`EXPIRY_DOUBT_MS`].
+    /// Records that the store was restored from an older copy, in which entries may be missing.
+    pub(super) fn note_restore(&mut self, now: ClockTime) {
+        self.failed_at = Some(now);
+    }
+
+    /// Whether a request failed, or the store was restored, within the last [`EXPIRY_DOUBT_MS`].
     fn failed_recently(&self, now: ClockTime) -> bool {
         self.failed_at
             .is_some_and(|at| now.since(at) < EXPIRY_DOUBT_MS)
@@ -128,23 +135,32 @@
     (leave_bound_ms as f64 * REGISTRY_PAUSE_FRACTION) as u64
 }
 
+/// How far the configuration was followed.
+#[derive(Clone, Copy, Debug)]
+struct ConfigCursor {
+    /// Position from which the next watch continues.
+    position: StorePosition,
+    /// Version of the configuration that the store has there; zero if it has none.
+    version: u64,
+}
+
 async fn follow_config(gateway: Arc<Gateway>, store: KvStore) {
     let mut status = StoreStatus::new("config");
     let wait_ms = config_wait_ms(gateway.config.revoke_ms);
-    let mut after_revision: Option<u64> = None;
+    let mut cursor: Option<ConfigCursor> = None;
     loop {
         let queried_at = gateway.clock.now();
-        let result = match after_revision {
+        let result = match cursor {
             None => read_config(&gateway, &store, queried_at).await,
-            Some(revision) => {
+            Some(cursor) => {
                 let wait_ms = status.watch_wait_ms(wait_ms);
-                watch_config(&gateway, &store, queried_at, revision, wait_ms).await
+                watch_config(&gateway, &store, queried_at, cursor, wait_ms).await
             }
         };
         match result {
             Ok(next) => {
                 status.recover();
-                after_revision = next;
+                cursor = next;
             }
             Err(error) => status.back_off(gateway.clock.now(), &error).await,
         }
@@ -155,21 +171,22 @@
     gateway: &Gateway,
     store: &KvStore,
     queried_at: ClockTime,
-) -> Result<Option<u64>, String> {
+) -> Result<Option<ConfigCursor>, String> {
     let request = PlatformRequest::Range {
         key: CONFIG_KEY.to_owned(),
         range_end: String::new(),
     };
-    match store.send(request).await {
-        Ok(PlatformResponse::Range { revision, items }) => {
-            let mut all_decoded = true;
+    match store.request(request).await {
+        Ok((PlatformResponse::Range { revision, items }, era)) => {
+            let mut version = Some(0);
             for item in &items {
-                all_decoded &= apply_config_item(gateway, item);
-            }
-            if all_decoded {
-                gateway.state().proof.renew(queried_at);
+                version = apply_config_item(gateway, item);
             }
-            Ok(Some(revision))
+            confirm_config(gateway, queried_at, era, version);
+            Ok(Some(ConfigCursor {
+                position: StorePosition::new(era, revision),
+                version: version.unwrap_or(0),
+            }))
         }
         Ok(other) => Err(format!("unexpected response: {other:?}")),
         Err(error) => Err(error.0),
@@ -180,33 +197,61 @@
     gateway: &Gateway,
     store: &KvStore,
     queried_at: ClockTime,
-    after_revision: u64,
+    cursor: ConfigCursor,
     wait_ms: u64,
-) -> Result<Option<u64>, String> {
-    match store.watch(CONFIG_KEY, after_revision, wait_ms).await {
-        Ok(WatchOutcome::Changes(changes, revision)) => {
-            let mut all_decoded = true;
+) -> Result<Option<ConfigCursor>, String> {
+    let after = cursor.position;
+    match store.watch(CONFIG_KEY, after, wait_ms).await {
+        Ok(WatchOutcome::Changes(changes, position)) => {
+            let mut version = Some(cursor.version);
             for change in &changes {
                 if let StoreChange::Put(item) = change {
-                    all_decoded &= item.key != CONFIG_KEY || apply_config_item(gateway, item);
+                    if item.key == CONFIG_KEY {
+                        version = apply_config_item(gateway, item);
+                    }
                 }
             }
-            if all_decoded {
-                gateway.state().proof.renew(queried_at);
-            }
-            Ok(Some(revision.max(after_revision)))
+            confirm_config(gateway, queried_at, position.era, version);
+            Ok(Some(ConfigCursor {
+                position,
+                version: version.unwrap_or(cursor.version),
+            }))
         }
         Ok(WatchOutcome::Compacted) => {
-            spdlog::info!("event=store_history_compacted what=config after={after_revision}");
+            spdlog::info!("event=store_history_compacted what=config after={after}");
+            Ok(None)
+        }
+        Ok(WatchOutcome::Restored) => {
+            spdlog::info!("event=store_restored what=config after={after}");
             Ok(None)
         }
         Err(error) => Err(error.0),
     }
 }
 
-/// Decodes a configuration and applies it if it is newer. Returns false if it cannot be decoded;
-/// the freshness proof must then not be renewed.
-fn apply_config_item(gateway: &Gateway, item: &PlatformItem) -> bool {
+/// Renews the freshness proof after an answer that shows which version the store has. `version` is
+/// `None` if it could not be decoded; the proof is then not renewed.
+fn confirm_config(gateway: &Gateway, queried_at: ClockTime, era: u64, version: Option<u64>) {
+    let Some(version) = version else {
+        return;
+    };
+    let now = gateway.clock.now();
+    let mut state = gateway.state();
+    if let ConfigProof::Withheld { newest, is_new } =
+        state.confirm_config(now, queried_at, era, version)
+    {
+        drop(state);
+        if is_new {
+            spdlog::warn!(
+                "event=config_proof_withheld stored_version={version} newest_version={newest} era={era}"
+            );
+        }
+    }
+}
+
+/// Decodes a configuration and applies it if it is newer. Returns its version, or `None` if it
+/// cannot be decoded.
+fn apply_config_item(gateway: &Gateway, item: &PlatformItem) -> Option<u64> {
     match decode_config(&item.value) {
         Ok(config) => {
             let (version, routes) = (config.version, config.routes.len());
@@ -215,33 +260,33 @@
                 "event=config_read version={version} routes={routes} revision={} applied={applied}",
                 item.mod_revision
             );
-            true
+            Some(version)
         }
         Err(error) => {
             spdlog::error!(
                 "event=config_decode_failed key={CONFIG_KEY} revision={} error=\"{error:#}\"",
                 item.mod_revision
             );
-            false
+            None
         }
     }
 }
 
 async fn follow_registry(gateway: Arc<Gateway>, store: KvStore) {
     let mut status = StoreStatus::new("registry");
-    let mut after_revision: Option<u64> = None;
+    let mut after: Option<StorePosition> = None;
     let started_at = gateway.clock.now();
     let pause_ms = registry_pause_ms(gateway.config.leave_bound_ms);
     loop {
-        let result = match after_revision {
+        let result = match after {
             None => read_registry(&gateway, &store, &status).await,
-            Some(revision) => watch_registry(&gateway, &store, &status, revision).await,
+            Some(after) => watch_registry(&gateway, &store, &mut status, after).await,
         };
         let now = gateway.clock.now();
         match result {
             Ok(next) => {
                 status.recover();
-                after_revision = next;
+                after = next;
                 let starting = now.since(started_at) < STARTUP_MS;
                 let pause = match starting {
                     true => pause_ms.min(MAX_STARTUP_PAUSE_MS),
@@ -262,13 +307,15 @@
     gateway: &Gateway,
     store: &KvStore,
     status: &StoreStatus,
-) -> Result<Option<u64>, String> {
+) -> Result<Option<StorePosition>, String> {
     let request = PlatformRequest::Range {
         key: REGISTRY_PREFIX.to_owned(),
         range_end: prefix_end(REGISTRY_PREFIX),
     };
-    let (revision, items) = match store.send(request).await {
-        Ok(PlatformResponse::Range { revision, items }) => (revision, items),
+    let (position, items) = match store.request(request).await {
+        Ok((PlatformResponse::Range { revision, items }, era)) => {
+            (StorePosition::new(era, revision), items)
+        }
         Ok(other) => return Err(format!("unexpected response: {other:?}")),
         Err(error) => return Err(error.0),
     };
@@ -280,58 +327,80 @@
     let removed: Vec<String> = gateway
         .state()
         .upstreams
-        .known_revisions()
+        .known_positions()
         .into_iter()
-        .filter(|(id, known)| !registered.contains(id.as_str()) && *known <= revision)
+        .filter(|(id, known)| !registered.contains(id.as_str()) && *known <= position)
         .map(|(id, _)| id)
         .collect();
     for id in removed {
-        apply_removal(gateway, now, &id, revision + 1, status);
+        let removed_at = StorePosition::new(position.era, position.revision + 1);
+        apply_removal(gateway, now, &id, removed_at, status);
     }
     for item in &items {
-        apply_entry(gateway, now, item);
+        apply_entry(gateway, now, position.era, item, EntrySource::Read);
     }
     spdlog::info!(
-        "event=registry_read revision={revision} entries={}",
+        "event=registry_read position={position} entries={}",
         items.len()
     );
-    Ok(Some(revision))
+    Ok(Some(position))
 }
 
 async fn watch_registry(
     gateway: &Gateway,
     store: &KvStore,
-    status: &StoreStatus,
-    after_revision: u64,
-) -> Result<Option<u64>, String> {
-    match store
-        .watch(REGISTRY_PREFIX, after_revision, REGISTRY_WATCH_MS)
-        .await
-    {
-        Ok(WatchOutcome::Changes(changes, revision)) => {
+    status: &mut StoreStatus,
+    after: StorePosition,
+) -> Result<Option<StorePosition>, String> {
+    match store.watch(REGISTRY_PREFIX, after, REGISTRY_WATCH_MS).await {
+        Ok(WatchOutcome::Changes(changes, position)) => {
             let now = gateway.clock.now();
+            let era = position.era;
             for change in &changes {
                 match change {
-                    StoreChange::Put(item) => apply_entry(gateway, now, item),
+                    StoreChange::Put(item) => {
+                        apply_entry(gateway, now, era, item, EntrySource::Watch);
+                    }
                     StoreChange::Removed { key, revision } => {
                         if let Some(id) = entry_id(key) {
-                            apply_removal(gateway, now, id, *revision, status);
+                            let removed_at = StorePosition::new(era, *revision);
+                            apply_removal(gateway, now, id, removed_at, status);
                         }
                     }
                 }
             }
-            Ok(Some(revision.max(after_revision)))
+            Ok(Some(position))
         }
         Ok(WatchOutcome::Compacted) => {
-            spdlog::info!("event=store_history_compacted what=registry after={after_revision}");
+            spdlog::info!("event=store_history_compacted what=registry after={after}");
+            Ok(None)
+        }
+        Ok(WatchOutcome::Restored) => {
+            spdlog::info!("event=store_restored what=registry after={after}");
+            status.note_restore(gateway.clock.now());
             Ok(None)
         }
         Err(error) => Err(error.0),
     }
 }
 
-fn apply_entry(gateway: &Gateway, now: ClockTime, item: &PlatformItem) {
-    match decode_entry(item) {
+/// Where a registry entry comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EntrySource {
+    /// A full read, which may return what was written before a restore of the store.
+    Read,
+    /// A watch: the entry was just written.
+    Watch,
+}
+
+fn apply_entry(
+    gateway: &Gateway,
+    now: ClockTime,
+    era: u64,
+    item: &PlatformItem,
+    source: EntrySource,
+) {
+    match decode_entry(era, item) {
         Ok(entry) => {
             let line = format!(
                 "id={} born={} service={} address={} domain={} kind={} layers={} draining={}",
@@ -344,7 +413,12 @@
                 entry.layers,
                 entry.draining
             );
-            if gateway.state().upstreams.apply_entry(now, entry) {
+            let upstreams = &mut gateway.state().upstreams;
+            let changed = match source {
+                EntrySource::Read => upstreams.apply_read_entry(now, entry),
+                EntrySource::Watch => upstreams.apply_entry(now, entry),
+            };
+            if changed {
                 spdlog::info!(
                     "event=upstream_updated {line} revision={}",
                     item.mod_revision
@@ -360,13 +434,19 @@
     }
 }
 
-fn apply_removal(gateway: &Gateway, now: ClockTime, id: &str, revision: u64, status: &StoreStatus) {
+fn apply_removal(
+    gateway: &Gateway,
+    now: ClockTime,
+    id: &str,
+    position: StorePosition,
+    status: &StoreStatus,
+) {
     let after_failure = status.failed_recently(now);
     spdlog::info!(
-        "event=registry_entry_removed id={id} revision={revision} after_store_failure={after_failure}"
+        "event=registry_entry_removed id={id} position={position} after_store_failure={after_failure}"
     );
     gateway
         .state()
         .upstreams
-        .remove_entry(now, id, revision, after_failure);
+        .remove_entry(now, id, position, after_failure);
 }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 
 use crate::clock::ClockTime;
+use crate::store::position::StorePosition;
 
 /// Time for which an upstream stays suspect, milliseconds. It doubles each time that the upstream
 /// becomes suspect without a successful exchange in between, up to [`MAX_SUSPECT_MS`].
@@ -80,8 +81,10 @@
     pub kind: String,
     /// Layers that the upstream holds; empty for a plain service.
     pub layers: LayerRange,
-    /// Store revision at which the entry was written.
-    pub revision: u64,
+    /// Number of heartbeats that the incarnation had sent with this one; zero if unknown.
+    pub sequence: u64,
+    /// Position in the store's history at which the entry was written.
+    pub position: StorePosition,
 }
 
 /// Index of an upstream's incarnation in the [`UpstreamTable`].
@@ -123,6 +126,10 @@
     /// End of the time for which the upstream is paused: it refused a request or an order, or a
     /// refusal named it as the cause.
     paused_until: ClockTime,
+    /// Whether the upstream has said in an answer to this gateway that it is leaving.
+    pub said_leaving: bool,
+    /// End of the time for which the upstream itself asked to be left alone.
+    rest_until: ClockTime,
     /// Newest report to this gateway or to a peer that the upstream is dead. `None` if there was
     /// none or a later heartbeat showed that it is alive.
     death_report: Option<DeathReport>,
@@ -156,10 +163,22 @@
 }
 
 impl UpstreamRecord {
-    /// Whether the upstream is registered, not suspect and not paused. New chains use only usable
-    /// replicas; a plain service falls back on other registered ones if it has none.
+    /// Whether the upstream is registered, not suspect, not paused and did not ask to be left
+    /// alone. New chains use only usable replicas; a plain service falls back on other registered
+    /// ones that did not ask for it if it has none.
     pub fn usable(&self, now: ClockTime) -> bool {
-        self.registered() && !self.suspected(now) && now >= self.paused_until
+        let paused = now < self.paused_until || self.resting(now);
+        self.registered() && !self.suspected(now) && !paused
+    }
+
+    /// Whether the upstream asked to be left alone for a time that is not over.
+    pub fn resting(&self, now: ClockTime) -> bool {
+        now < self.rest_until
+    }
+
+    /// Time for which the upstream still asks to be left alone, milliseconds.
+    pub fn rest_ms(&self, now: ClockTime) -> u64 {
+        self.rest_until.since(now)
     }
 
     /// Whether a report that the upstream is dead is in force.
@@ -251,11 +270,11 @@
     pub fn apply_entry(&mut self, now: ClockTime, entry: UpstreamEntry) -> bool {
         if let Some(key) = self.ids.get(&entry.id).copied() {
             let record = &mut self.records[key.0 as usize];
-            if entry.revision < record.entry.revision {
+            if entry.position < record.entry.position {
                 return false;
             }
             if record.entry.born == entry.born && !record.gone {
-                if entry.revision > record.entry.revision {
+                if entry.position > record.entry.position {
                     record.last_heartbeat = now;
                     // A heartbeat that was under way when the replica died is no evidence that it
                     // lives.
@@ -286,6 +305,8 @@
             gone_at: None,
             suspect_until: now,
             paused_until: now,
+            said_leaving: false,
+            rest_until: now,
             death_report: None,
             last_heartbeat: now,
             suspicions: 0,
@@ -300,15 +321,35 @@
         true
     }
 
-    /// Applies the removal of the entry of `id` at `revision`. If the store was unavailable just
-    /// before, the upstream is kept for `LAPSE_GRACE_MS`, since the entries of live upstreams
-    /// lapse during an outage.
-    pub fn remove_entry(&mut self, now: ClockTime, id: &str, revision: u64, store_was_down: bool) {
+    /// Applies an entry of a full read. After a restore of the store the read may return what the
+    /// upstream wrote long ago: an entry that is no newer than what is known of its incarnation, or
+    /// that is of an earlier one, is ignored until the upstream writes again. Otherwise as
+    /// [`Self::apply_entry`].
+    pub fn apply_read_entry(&mut self, now: ClockTime, entry: UpstreamEntry) -> bool {
+        let known = self.ids.get(&entry.id);
+        let known = known.map(|key| &self.records[key.0 as usize].entry);
+        let stale = known.is_some_and(|known| {
+            known.position.era < entry.position.era
+                && (entry.born, entry.sequence) <= (known.born, known.sequence)
+        });
+        !stale && self.apply_entry(now, entry)
+    }
+
+    /// Applies the removal of the entry of `id` at `position`. If the store was unavailable or
+    /// restored just before, the upstream is kept for `LAPSE_GRACE_MS`, since the entries of live
+    /// upstreams lapse during an outage and are missing in an older copy.
+    pub fn remove_entry(
+        &mut self,
+        now: ClockTime,
+        id: &str,
+        position: StorePosition,
+        store_was_down: bool,
+    ) {
         let Some(key) = self.ids.get(id).copied() else {
             return;
         };
         let record = &mut self.records[key.0 as usize];
-        if revision <= record.entry.revision || record.gone || record.gone_at.is_some() {
+        if position <= record.entry.position || record.gone || record.gone_at.is_some() {
             return;
         }
         let grace_ms = if store_was_down { LAPSE_GRACE_MS } else { 0 };
@@ -328,12 +369,12 @@
         }
     }
 
-    /// Ids and revisions of the upstreams that are not gone, for comparison with a full read of the
-    /// registry.
-    pub fn known_revisions(&self) -> Vec<(String, u64)> {
+    /// Ids and positions of the entries of the upstreams that are not gone, for comparison with a
+    /// full read of the registry.
+    pub fn known_positions(&self) -> Vec<(String, StorePosition)> {
         let records = self.iter();
         records
-            .map(|(_, record)| (record.entry.id.clone(), record.entry.revision))
+            .map(|(_, record)| (record.entry.id.clone(), record.entry.position))
             .collect()
     }
 
@@ -411,6 +452,13 @@
         record.paused_until = record.paused_until.max(now + REFUSAL_PAUSE_MS);
     }
 
+    /// Leaves an upstream alone for `rest_ms` milliseconds, since it asked for it. A shorter time
+    /// than one asked for before does not end that one.
+    pub fn rest(&mut self, now: ClockTime, key: UpstreamKey, rest_ms: u64) {
+        let record = &mut self.records[key.0 as usize];
+        record.rest_until = record.rest_until.max(now + rest_ms);
+    }
+
     /// Records a failed exchange. Single failures also occur at healthy upstreams, so only several
     /// in a row make it suspect.
     pub fn record_exchange_failure(&mut self, now: ClockTime, key: UpstreamKey) {
@@ -432,13 +480,20 @@
     }
 
     /// Marks the upstream as draining: another one answers at its address, or it says itself that
-    /// it is shutting down.
-    pub fn mark_draining(&mut self, key: UpstreamKey) {
+    /// it is leaving. Returns whether it was not draining before.
+    pub fn mark_draining(&mut self, key: UpstreamKey) -> bool {
         let record = &mut self.records[key.0 as usize];
-        if !record.entry.draining {
-            record.entry.draining = true;
-            self.version += 1;
-        }
+        let changed = !record.entry.draining;
+        record.entry.draining = true;
+        self.version += u64::from(changed);
+        changed
+    }
+
+    /// Marks the upstream as draining because it said in an answer that it is leaving, and so that
+    /// the peers are told. Returns whether it was not draining before.
+    pub fn mark_leaving(&mut self, key: UpstreamKey) -> bool {
+        self.records[key.0 as usize].said_leaving = true;
+        self.mark_draining(key)
     }
 
     /// Adds a request of this gateway that is expected to need `reserved_kv` of KV memory, in
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -12,7 +12,9 @@
 use crate::gateway::attempt_ledger::AttemptFailure;
 use crate::gateway::forward::RequestContext;
 use crate::gateway::pool::{connect, UpstreamConnection};
-use crate::gateway::reroute::{check_silent_request, AttemptHealth, SILENCE_CHECK_MS};
+use crate::gateway::reroute::{
+    check_silent_request, note_leaving, AttemptHealth, SILENCE_CHECK_MS,
+};
 use crate::gateway::run::Gateway;
 use crate::gateway::state::SendTarget;
 use crate::gateway::upstream::UpstreamKey;
@@ -164,6 +166,9 @@
     let not_run = meta.not_run || status == StatusCode::MISDIRECTED_REQUEST;
     // On a reused connection, a response without a request id may belong to an earlier request.
     let matches_request = meta.has_request_id || (new_connection && not_run && !meta.has_other_id);
+    if matches_request && status != StatusCode::MISDIRECTED_REQUEST {
+        heed_notices(gateway, &attempt.target, status, &meta);
+    }
     if matches_request && not_run {
         let mut state = gateway.state();
         let faulty = meta
@@ -222,6 +227,32 @@
     })
 }
 
+/// Heeds what an upstream says of itself beside its response: that it is leaving, or, with a 503,
+/// that it asks to be left alone for a time. A replica of the chain that the 503 names as faulty is
+/// left alone as well.
+fn heed_notices(gateway: &Gateway, target: &SendTarget, status: StatusCode, meta: &ResponseMeta) {
+    if meta.leaving {
+        note_leaving(gateway, target.upstream);
+    }
+    let (StatusCode::SERVICE_UNAVAILABLE, Some(rest_ms)) = (status, meta.rest_ms) else {
+        return;
+    };
+    let now = gateway.clock.now();
+    let mut state = gateway.state();
+    let named = meta
+        .faulty_replica
+        .and_then(|address| state.upstreams.by_address(address));
+    for key in [Some(target.upstream), named].into_iter().flatten() {
+        state.upstreams.rest(now, key, rest_ms);
+    }
+    drop(state);
+    spdlog::info!(
+        "event=upstream_resting id={} rest_ms={rest_ms} at={:?}",
+        target.upstream_id,
+        meta.faulty_replica
+    );
+}
+
 fn build_request(
     context: &RequestContext,
     target: &SendTarget,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -4,12 +4,13 @@
 
 use http::header::{
     CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
-    TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request};
 
 use crate::gateway::upstream::LayerRange;
+use crate::store::position::EraStatement;
 
 /// The caller's id of a request. Despite the header's name, all attempts that the gateway makes for
 /// the request carry the same id.
@@ -28,6 +29,8 @@
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
 const AT_SERVER: HeaderName = HeaderName::from_static("at-server");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
 /// Values parsed from the headers of a caller's request.
@@ -221,6 +224,47 @@
     /// How long the upstream keeps the connection open while idle, milliseconds; `None` if not
     /// stated.
     pub idle_ms: Option<u64>,
+    /// Whether the upstream says that it is leaving and is to get no new requests
+    /// (`server-leaving: 1`).
+    pub leaving: bool,
+    /// How long the upstream asks to be left alone (`retry-after`), milliseconds; `None` if it does
+    /// not, or asks in a form that is not believed.
+    pub rest_ms: Option<u64>,
+}
+
+/// Longest time for which an upstream is left alone because it asks for it, milliseconds. A longer
+/// one is taken for a garbled header.
+const MAX_REST_MS: f64 = 3_600_000.0;
+
+/// Whether a response says that its upstream is leaving.
+pub fn is_leaving(headers: &HeaderMap) -> bool {
+    header_text(headers, &SERVER_LEAVING) == "1"
+}
+
+/// Parses how long an upstream asks to be left alone: seconds, which may include fractions.
+fn rest_ms(headers: &HeaderMap) -> Option<u64> {
+    let text = header_text(headers, &RETRY_AFTER);
+    if text.is_empty() {
+        return None;
+    }
+    let rest_ms = text.parse::<f64>().unwrap_or(f64::NAN) * 1_000.0;
+    if !(0.0..=MAX_REST_MS).contains(&rest_ms) {
+        spdlog::warn!("event=rest_ignored retry_after={text:?} expected=seconds");
+        return None;
+    }
+    // Rounded up, so that the upstream is not asked before the time is over.
+    Some(rest_ms.ceil() as u64)
+}
+
+/// Parses the era in which the store gave an answer.
+pub fn store_era(headers: &HeaderMap) -> EraStatement {
+    let values: Vec<&HeaderValue> = headers.get_all(STORE_ERA).iter().collect();
+    let number = |value: &HeaderValue| value.to_str().ok()?.trim().parse().ok();
+    match values[..] {
+        [] => EraStatement::Absent,
+        [value] => number(value).map_or(EraStatement::Garbled, EraStatement::Era),
+        _ => EraStatement::Garbled,
+    }
 }
 
 /// Parses the headers of a response to the request with the id `id`.
@@ -242,7 +286,9 @@
         closes_connection: connection_header_names(headers)
             .iter()
             .any(|name| name == "close"),
-        idle_ms: idle_s.map(|seconds| seconds * 1_000),
+        idle_ms: idle_s.map(|seconds| seconds.saturating_mul(1_000)),
+        leaving: is_leaving(headers),
+        rest_ms: rest_ms(headers),
     }
 }
 
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -1,5 +1,6 @@
 //! Client of the platform's key-value store over its HTTP/JSON interface.
 
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use base64::engine::general_purpose::STANDARD as BASE64;
@@ -9,11 +10,14 @@
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use tokio::sync::watch;
 
-use crate::fetch::{json_request, send, HttpClient};
+use crate::fetch::{json_request, send_whole, HttpClient};
+use crate::platform::headers::store_era;
+use crate::store::position::{EraFault, EraStatement, EraTracker, StorePosition};
 use crate::store::{
     PlatformCompare, PlatformError, PlatformFuture, PlatformItem, PlatformRequest,
-    PlatformResponse, PlatformResult, PlatformStore, PlatformWrite,
+    PlatformResponse, PlatformStore, PlatformWrite,
 };
 
 /// Timeout of one request, milliseconds.
@@ -36,18 +40,62 @@
 /// Result of a watch request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchOutcome {
-    /// The changes, in order, and the store revision from which to continue. Empty if the wait
-    /// ended without a change.
-    Changes(Vec<StoreChange>, u64),
-    /// The store no longer keeps all changes after the requested revision.
+    /// The changes, in order, and the position from which to continue. Empty if the wait ended
+    /// without a change.
+    Changes(Vec<StoreChange>, StorePosition),
+    /// The store no longer keeps all changes after the requested position.
     Compacted,
+    /// The store was restored from an older copy: what was read before must be read again.
+    Restored,
 }
 
-/// Client of the platform's store at one address.
+/// The latest era of the store. The tasks that use the store share it, so that each learns of a
+/// restore from the first answer to any of them.
+#[derive(Debug, Default)]
+struct SharedEra {
+    tracker: Mutex<(EraTracker, Option<EraFault>)>,
+    changes: watch::Sender<u64>,
+}
+
+impl SharedEra {
+    /// Records the era that an answer states and logs a restore, and the first of several faults of
+    /// the same kind. Returns the era of the answer.
+    fn observe(&self, statement: EraStatement) -> Result<u64, PlatformError> {
+        let mut tracker = self.tracker.lock().unwrap_or_else(PoisonError::into_inner);
+        let previous = tracker.0.era();
+        match tracker.0.observe(statement) {
+            Ok(era) => {
+                tracker.1 = None;
+                if era != previous {
+                    spdlog::warn!("event=store_era_changed era={era} previous={previous}");
+                    self.changes.send_replace(era);
+                }
+                Ok(era)
+            }
+            Err(fault) => {
+                if tracker.1 != Some(fault) {
+                    spdlog::warn!(
+                        "event=store_answer_rejected fault={fault} era={statement:?} known={previous}"
+                    );
+                }
+                tracker.1 = Some(fault);
+                Err(PlatformError(format!(
+                    "the answer's era is not believed: {fault}"
+                )))
+            }
+        }
+    }
+}
+
+/// A response and the era of the store that gave it, or why there is no usable one.
+pub type PositionedResult = Result<(PlatformResponse, u64), PlatformError>;
+
+/// Client of the platform's store at one address. Clones share what is known of the store's era.
 #[derive(Clone, Debug)]
 pub struct KvStore {
     client: HttpClient,
     address: String,
+    era: Arc<SharedEra>,
 }
 
 impl KvStore {
@@ -56,19 +104,42 @@
         KvStore {
             client: crate::fetch::client(),
             address,
+            era: Arc::default(),
         }
     }
 
-    /// Sends a request. Returns the status and the body of the response.
+    /// The latest era of the store; zero if it states none.
+    pub fn era(&self) -> u64 {
+        *self.era.changes.borrow()
+    }
+
+    /// Waits until the era of the store is not `era`.
+    pub async fn era_changed(&self, era: u64) {
+        let mut changes = self.era.changes.subscribe();
+        // The sender lives as long as this client.
+        let _ = changes.wait_for(|latest| *latest != era).await;
+    }
+
+    /// Sends a request. Returns the status, the body and the era of the response. An answer without
+    /// a believable era is an error, unless its status is one that says nothing of the store.
     async fn send_request(
         &self,
         request: eyre::Result<Request<Full<Bytes>>>,
         timeout_ms: u64,
-    ) -> Result<(u16, Bytes), PlatformError> {
+    ) -> Result<(u16, Bytes, u64), PlatformError> {
         let request = request.map_err(|error| PlatformError(error.to_string()))?;
-        let response = send(&self.client, request);
+        let response = send_whole(&self.client, request);
         match tokio::time::timeout(Duration::from_millis(timeout_ms), response).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => {
+                let status = response.status().as_u16();
+                let era = match status {
+                    200..=299 | 404 | 410 | 412 => {
+                        self.era.observe(store_era(response.headers()))?
+                    }
+                    _ => self.era(),
+                };
+                Ok((status, response.into_body(), era))
+            }
             Ok(Err(error)) => Err(PlatformError(error.to_string())),
             Err(_) => Err(PlatformError(format!("no response within {timeout_ms} ms"))),
         }
@@ -84,56 +155,64 @@
         json_request(Method::POST, &url, value)
     }
 
-    async fn read(&self, key: &str) -> PlatformResult {
+    async fn read(&self, key: &str) -> PositionedResult {
         let request = self.get(&format!("/api/kv-key?key={key}"));
         match self.send_request(request, REQUEST_TIMEOUT_MS).await? {
-            (200, body) => {
+            (200, body, era) => {
                 let item: RawItem = decode(&body)?;
-                Ok(PlatformResponse::Range {
+                let response = PlatformResponse::Range {
                     revision: item.store_revision,
                     items: vec![item.try_into()?],
-                })
+                };
+                Ok((response, era))
             }
-            (404, body) => {
+            (404, body, era) => {
                 let response: RawRevision = decode(&body).unwrap_or_default();
-                Ok(PlatformResponse::Range {
+                let response = PlatformResponse::Range {
                     revision: response.store_revision,
                     items: Vec::new(),
-                })
+                };
+                Ok((response, era))
             }
-            (status, _) => Err(unexpected_status(status)),
+            (status, ..) => Err(unexpected_status(status)),
         }
     }
 
     /// Reads all keys with a prefix, page by page. Returns the revision of the first page, so that
     /// a watch from that revision misses no change. The watch may report changes that a later page
-    /// already contains.
-    async fn read_prefix(&self, prefix: &str) -> PlatformResult {
+    /// already contains. Fails if the store is restored between two pages.
+    async fn read_prefix(&self, prefix: &str) -> PositionedResult {
         let mut items = Vec::new();
-        let mut first_revision = None;
+        let mut first = None;
         let mut page_query = String::new();
         loop {
             let query = format!("/api/kv-range?prefix={prefix}{page_query}");
-            let (status, body) = self
+            let (status, body, era) = self
                 .send_request(self.get(&query), REQUEST_TIMEOUT_MS)
                 .await?;
             if status != 200 {
                 return Err(unexpected_status(status));
             }
             let page: RawPage = decode(&body)?;
-            let revision = *first_revision.get_or_insert(page.store_revision);
+            let (revision, first_era) = *first.get_or_insert((page.store_revision, era));
+            if era != first_era {
+                return Err(PlatformError(
+                    "the store was restored between two pages".into(),
+                ));
+            }
             for item in page.items {
                 items.push(PlatformItem::try_from(item)?);
             }
             match items.last() {
                 Some(last) if page.truncated => page_query = format!("&after={}", last.key),
-                _ => return Ok(PlatformResponse::Range { revision, items }),
+                _ => return Ok((PlatformResponse::Range { revision, items }, era)),
             }
         }
     }
 
-    /// Returns the changes of keys with a prefix that were made after a store revision. If there is
-    /// none, waits up to `wait_ms` milliseconds for one.
+    /// Returns the changes of keys with a prefix that were made after a position. If there is none,
+    /// waits up to `wait_ms` milliseconds for one. The wait ends at once when any answer of the store
+    /// shows that it was restored: the changes after the position would be those of other writes.
     ///
     /// # Errors
     ///
@@ -141,29 +220,50 @@
     pub async fn watch(
         &self,
         prefix: &str,
-        after_revision: u64,
+        after: StorePosition,
+        wait_ms: u64,
+    ) -> Result<WatchOutcome, PlatformError> {
+        tokio::select! {
+            biased;
+            () = self.era_changed(after.era) => Ok(WatchOutcome::Restored),
+            outcome = self.watch_in_era(prefix, after, wait_ms) => outcome,
+        }
+    }
+
+    async fn watch_in_era(
+        &self,
+        prefix: &str,
+        after: StorePosition,
         wait_ms: u64,
     ) -> Result<WatchOutcome, PlatformError> {
-        let query =
-            format!("/api/kv-watch?prefix={prefix}&after={after_revision}&wait_ms={wait_ms}");
+        let query = format!(
+            "/api/kv-watch?prefix={prefix}&after={}&wait_ms={wait_ms}",
+            after.revision
+        );
         match self
             .send_request(self.get(&query), REQUEST_TIMEOUT_MS + wait_ms)
             .await?
         {
-            (200, body) => {
+            (_, _, era) if era != after.era => Ok(WatchOutcome::Restored),
+            (200, body, era) => {
                 let response: RawWatch = decode(&body)?;
                 let changes = response.events.into_iter().map(StoreChange::try_from);
                 let changes = changes.collect::<Result<_, _>>()?;
-                Ok(WatchOutcome::Changes(changes, response.store_revision))
+                let position = StorePosition::new(era, response.store_revision);
+                Ok(WatchOutcome::Changes(changes, position.max(after)))
             }
-            (410, _) => Ok(WatchOutcome::Compacted),
-            (status, _) => Err(unexpected_status(status)),
+            (410, ..) => Ok(WatchOutcome::Compacted),
+            (status, ..) => Err(unexpected_status(status)),
         }
     }
 
     /// Applies the writes if every condition holds. Otherwise returns the existing keys among those
     /// that the conditions name.
-    async fn txn(&self, compares: &[PlatformCompare], writes: &[PlatformWrite]) -> PlatformResult {
+    async fn txn(
+        &self,
+        compares: &[PlatformCompare],
+        writes: &[PlatformWrite],
+    ) -> PositionedResult {
         let mut expected = Vec::new();
         for compare in compares {
             match compare {
@@ -191,38 +291,49 @@
             .send_request(self.post("/api/kv-txn", &body), REQUEST_TIMEOUT_MS)
             .await?
         {
-            (200, body) => Ok(PlatformResponse::Txn {
-                succeeded: true,
-                revision: decode::<RawRevision>(&body)?.revision,
-                items: Vec::new(),
-            }),
-            (412, body) => {
+            (200, body, era) => {
+                let response = PlatformResponse::Txn {
+                    succeeded: true,
+                    revision: decode::<RawRevision>(&body)?.revision,
+                    items: Vec::new(),
+                };
+                Ok((response, era))
+            }
+            (412, body, era) => {
                 let conflict: RawConflict = decode(&body)?;
                 let items = conflict.items.into_iter().filter(|item| item.revision > 0);
-                Ok(PlatformResponse::Txn {
+                let response = PlatformResponse::Txn {
                     succeeded: false,
                     revision: 0,
                     items: items
                         .map(PlatformItem::try_from)
                         .collect::<Result<_, _>>()?,
-                })
+                };
+                Ok((response, era))
             }
-            (status, _) => Err(unexpected_status(status)),
+            (status, ..) => Err(unexpected_status(status)),
         }
     }
 
-    async fn lease_request(&self, path: &str, method: Method) -> PlatformResult {
+    async fn lease_request(&self, path: &str, method: Method) -> PositionedResult {
         let url = format!("http://{}{path}", self.address);
         let request = Request::builder().method(method).uri(url);
         let request = request.body(Full::default()).map_err(eyre::Report::from);
         match self.send_request(request, REQUEST_TIMEOUT_MS).await? {
-            (200..=299, body) => Ok(decode::<RawLease>(&body).unwrap_or_default().into()),
-            (404, _) => Ok(PlatformResponse::Lease { lease: 0, ttl_s: 0 }),
-            (status, _) => Err(unexpected_status(status)),
+            (200..=299, body, era) => {
+                Ok((decode::<RawLease>(&body).unwrap_or_default().into(), era))
+            }
+            (404, _, era) => Ok((PlatformResponse::Lease { lease: 0, ttl_s: 0 }, era)),
+            (status, ..) => Err(unexpected_status(status)),
         }
     }
 
-    async fn execute(&self, request: PlatformRequest) -> PlatformResult {
+    /// Sends one request. Returns the response and the era of the store that gave it.
+    ///
+    /// # Errors
+    ///
+    /// If the request fails or times out, or its response cannot be decoded or believed.
+    pub async fn request(&self, request: PlatformRequest) -> PositionedResult {
         match request {
             PlatformRequest::Range { key, range_end } if range_end.is_empty() => {
                 self.read(&key).await
@@ -237,8 +348,8 @@
                     .send_request(self.post("/api/kv-lease", &body), REQUEST_TIMEOUT_MS)
                     .await?
                 {
-                    (200, body) => Ok(decode::<RawLease>(&body)?.into()),
-                    (status, _) => Err(unexpected_status(status)),
+                    (200, body, era) => Ok((decode::<RawLease>(&body)?.into(), era)),
+                    (status, ..) => Err(unexpected_status(status)),
                 }
             }
             PlatformRequest::LeaseKeepAlive { lease } => {
@@ -256,7 +367,7 @@
 impl PlatformStore for KvStore {
     fn send(&self, request: PlatformRequest) -> PlatformFuture {
         let store = self.clone();
-        Box::pin(async move { store.execute(request).await })
+        Box::pin(async move { store.request(request).await.map(|(response, _)| response) })
     }
 }
 
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::upstream::{LayerRange, UpstreamEntry};
 use crate::platform::REGISTRY_PREFIX;
+use crate::store::position::StorePosition;
 use crate::store::PlatformItem;
 
 #[derive(Deserialize)]
@@ -19,6 +20,8 @@
     #[serde(default)]
     born: u64,
     #[serde(default)]
+    sequence: u64,
+    #[serde(default)]
     kind: String,
     layers: Option<RawLayers>,
 }
@@ -36,13 +39,13 @@
         .filter(|id| !id.is_empty())
 }
 
-/// Decodes one registry entry.
+/// Decodes one registry entry that was read in an era of the store.
 ///
 /// # Errors
 ///
 /// If the key has no id, or the value lacks a field, has a field of another type, or has an unknown
 /// state.
-pub fn decode_entry(item: &PlatformItem) -> eyre::Result<UpstreamEntry> {
+pub fn decode_entry(era: u64, item: &PlatformItem) -> eyre::Result<UpstreamEntry> {
     let id = entry_id(&item.key)
         .ok_or_else(|| eyre!("the key has no id after \"{REGISTRY_PREFIX}\""))?;
     let raw: RawEntry =
@@ -68,6 +71,7 @@
         draining,
         kind: raw.kind,
         layers,
-        revision: item.mod_revision,
+        sequence: raw.sequence,
+        position: StorePosition::new(era, item.mod_revision),
     })
 }
--- a/src/store.rs
+++ b/src/store.rs
@@ -4,6 +4,7 @@
 //! [`KvStore`](crate::platform::kv::KvStore) for the store of the deployment's platform.
 
 pub mod etcd;
+pub mod position;
 
 use std::future::Future;
 use std::pin::Pin;
--- a/src/wire/gen.rs
+++ b/src/wire/gen.rs
@@ -450,6 +450,9 @@
     pub loads: ::prost::alloc::vec::Vec<UpstreamLoad>,
     #[prost(message, repeated, tag = "2")]
     pub pipes: ::prost::alloc::vec::Vec<PipeLoad>,
+    /// Version of the configuration that the gateway has in force; zero if it has none.
+    #[prost(uint64, tag = "3")]
+    pub config_version: u64,
 }
 /// Number of requests of a gateway whose chains use the link between two failure domains.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -482,6 +485,9 @@
     /// Slowdown relative to nominal speed, in thousandths; zero when the gateway has not queried it.
     #[prost(uint32, tag = "6")]
     pub pace_milli: u32,
+    /// Whether the upstream has said in an answer to this gateway that it is leaving.
+    #[prost(bool, tag = "7")]
+    pub leaving: bool,
 }
 /// Whether a request has run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
--- a/standins/src/gateway_scaling.rs
+++ b/standins/src/gateway_scaling.rs
@@ -84,7 +84,8 @@
                 draining: false,
                 kind: slot.kind.clone(),
                 layers: slot.layers(),
-                revision: 1,
+                sequence: 0,
+                position: lynxcart::store::position::StorePosition::new(0, 1),
             },
         );
     }
--- a/standins/src/kv.rs
+++ b/standins/src/kv.rs
@@ -15,6 +15,9 @@
 
 use crate::server::{json_response, read_body, serve_on, text_response, ServerResponse};
 
+/// Header that states the era in every answer.
+const ERA_HEADER: &str = "store-era";
+
 #[derive(Clone, Debug)]
 struct KvItem {
     value: Vec<u8>,
@@ -23,8 +26,10 @@
     lease: i64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct KvData {
+    /// How often the store was restored from a copy.
+    era: u64,
     revision: u64,
     items: BTreeMap<String, KvItem>,
     changes: Vec<Value>,
@@ -34,6 +39,10 @@
     outage: bool,
 }
 
+/// A copy of the whole store, from which it can be restored.
+#[derive(Debug)]
+pub struct StoreCopy(KvData);
+
 /// Key-value store that runs as a task of the test or benchmark process. Clones share the same
 /// data.
 #[derive(Clone, Debug, Default)]
@@ -129,6 +138,24 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns a copy of the store as it is now.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.data().clone())
+    }
+
+    /// Goes back to a copy: writes and leases made since are lost, revisions are given out again,
+    /// and the era rises. An outage that is in force goes on.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut data = self.data();
+        let (era, outage) = (data.era + 1, data.outage);
+        *data = KvData {
+            era,
+            outage,
+            ..copy.0
+        };
+        self.changed.notify_waiters();
+    }
+
     /// Serves the store on `listener` until accepting a connection fails.
     ///
     /// # Errors
@@ -139,6 +166,15 @@
     }
 
     async fn handle(self, request: Request<Incoming>) -> ServerResponse {
+        // An answer belongs to the era in which its request arrived.
+        let era = self.data().era;
+        let mut response = self.handle_in_era(request).await;
+        let headers = response.headers_mut();
+        headers.insert(ERA_HEADER, http::HeaderValue::from(era));
+        response
+    }
+
+    async fn handle_in_era(self, request: Request<Incoming>) -> ServerResponse {
         let path = request.uri().path().to_owned();
         let query = request.uri().query().unwrap_or("").to_owned();
         let param = |name: &str| {
@@ -222,10 +258,14 @@
 
     async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> ServerResponse {
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
+        let era = self.data().era;
         loop {
             let changed = self.changed.notified();
             let (events, revision, outage) = {
                 let data = self.data();
+                if data.era != era || data.revision < after {
+                    return text_response(410, "");
+                }
                 let events: Vec<Value> = data
                     .changes
                     .iter()
--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -57,6 +57,13 @@
     pub dead: bool,
     /// Fault in force, for a plain service.
     pub fault: ReplicaFault,
+    /// Whether every answer says that the replica is leaving (`server-leaving`). The registry is not
+    /// told.
+    pub leaving: bool,
+    /// Text of `retry-after` with which each request is refused; empty for none.
+    pub rest: &'static str,
+    /// Number of callers' requests that reached the replica, also those that it refused.
+    pub arrivals: u32,
 }
 
 /// One run of a request by a replica, recorded when it starts.
@@ -184,6 +191,26 @@
     }
 
     async fn handle(self, address: SocketAddr, request: Request<Incoming>) -> ServerResponse {
+        let leaving = self.state(address).leaving;
+        let request_id = request.headers().get("x-attempt-id").cloned();
+        let mut response = self.handle_request(address, request).await;
+        // Refusals echo the id of the request as other responses do.
+        if let Some(id) = request_id {
+            let headers = response.headers_mut();
+            headers.entry("x-attempt-id").or_insert(id);
+        }
+        if leaving {
+            let value = http::HeaderValue::from_static("1");
+            response.headers_mut().insert("server-leaving", value);
+        }
+        response
+    }
+
+    async fn handle_request(
+        self,
+        address: SocketAddr,
+        request: Request<Incoming>,
+    ) -> ServerResponse {
         let path = request.uri().path().to_owned();
         let headers = request.headers().clone();
         let body = read_body(request).await;
@@ -197,6 +224,13 @@
             "/api/order" => {
                 self.handle_order(address, &serde_json::from_slice(&body).unwrap_or_default())
             }
+            _ if !state.rest.is_empty() => {
+                self.change(address, |state| state.arrivals += 1);
+                let mut response = refusal(503, None);
+                let value = http::HeaderValue::from_static(state.rest);
+                response.headers_mut().insert("retry-after", value);
+                response
+            }
             _ if header_value(&headers, "x-hops").is_empty() => {
                 self.handle_plain(address, &headers, &body).await
             }
@@ -253,6 +287,7 @@
     }
 
     fn record_run(&self, address: SocketAddr, headers: &HeaderMap, body: &Bytes) {
+        self.change(address, |state| state.arrivals += 1);
         self.data().runs.push(RunRecord {
             request_id: header_value(headers, "x-attempt-id").to_owned(),
             replica: address,
--- a/standins/tests/gateway.rs
+++ b/standins/tests/gateway.rs
@@ -388,3 +388,240 @@
         .expect("the stream should complete");
     assert_eq!(answer.event_ids(), expected_ids(10));
 }
+
+/// The store comes back from a copy that lacks a revocation. No gateway goes back to the older
+/// configuration, and one that starts before the operator has written again serves no key with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn revoked_key_stays_revoked_after_a_restore_of_the_store() {
+    let mut site = start_site("gateway-restore", 2).await;
+    let copy = site.store.copy();
+    site.set_api_keys(&["another-key"]);
+    for gateway in 0..2 {
+        wait_for_status(&site, gateway, 401).await;
+    }
+    site.store.restore(copy);
+    site.gateways[1]
+        .process
+        .kill()
+        .expect("the gateway should be killed");
+    site.restart_gateway(1).expect("the gateway should restart");
+    let began = Instant::now();
+    let mut statuses = [0, 0];
+    while began.elapsed() < Duration::from_secs(4) {
+        for (gateway, count) in statuses.iter_mut().enumerate() {
+            let id = format!("old-{gateway}-{}", began.elapsed().as_millis());
+            // The gateway may not listen yet.
+            let Ok(answer) = site.fetch(gateway, &SiteRequest::issue(&id)).await else {
+                continue;
+            };
+            *count += 1;
+            assert!(
+                [401, 503].contains(&answer.status),
+                "gateway {gateway} answered {} to a revoked key",
+                answer.status
+            );
+            assert_eq!(site.run_count(&id), 0, "gateway {gateway}");
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(statuses.iter().all(|count| *count > 20), "{statuses:?}");
+    // The operator writes again, and both serve the keys that hold.
+    site.set_api_keys(&[API_KEY]);
+    for gateway in 0..2 {
+        site.wait_until_ready(gateway, true)
+            .await
+            .expect("the gateway should become ready");
+        wait_for_status(&site, gateway, 200).await;
+    }
+}
+
+/// Sends requests until one is answered with `status`, for a second at most.
+async fn wait_for_status(site: &TestSite, gateway: usize, status: u16) {
+    for attempt in 0..50 {
+        let id = format!("wait-{gateway}-{status}-{attempt}");
+        let answer = site.fetch(gateway, &SiteRequest::issue(&id)).await;
+        if answer.expect("the gateway should respond").status == status {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("gateway {gateway} did not answer {status}");
+}
+
+/// The copy lacks the placement lease, the plan and what replicas wrote last. Orders go on, though
+/// replicas have seen a fencing token of a higher revision.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_accelerator_is_reloaded_after_a_restore_of_the_store() {
+    let mut site = start_site("gateway-restore-plan", 2).await;
+    let copy = site.store.copy();
+    // Several lease holders, so that the copy's revisions fall far behind.
+    for round in 0..40 {
+        site.store.put(&format!("op/other-{round}"), &round.into());
+    }
+    site.gateways[0]
+        .process
+        .kill()
+        .expect("the gateway should be killed");
+    site.restart_gateway(0).expect("the gateway should restart");
+    site.wait_until_ready(0, true)
+        .await
+        .expect("the gateway should become ready");
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    site.store.restore(copy);
+    let accelerator = site.model_addresses[0];
+    let held = site.replicas.state(accelerator).layers;
+    assert_ne!(held, (0, 0));
+    site.replicas.change(accelerator, |state| {
+        state.incarnation = 2;
+        state.accepted_orders = 0;
+        state.layers = (0, 0);
+    });
+    let began = Instant::now();
+    while site.replicas.state(accelerator).layers == (0, 0) {
+        assert!(
+            began.elapsed() < Duration::from_secs(12),
+            "the accelerator was not reloaded"
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    for gateway in 0..2 {
+        let request = SiteRequest::stream(&format!("s{gateway}"), 10);
+        let answer = site
+            .fetch(gateway, &request)
+            .await
+            .expect("the stream should complete");
+        assert_eq!(answer.event_ids(), expected_ids(10));
+    }
+}
+
+/// A replica says in its answers that it is leaving, and the store is away, so that the registry
+/// never says so.
+#[tokio::test(flavor = "multi_thread")]
+async fn replica_that_says_that_it_is_leaving_gets_no_further_requests() {
+    let site = start_site("gateway-leaving", 2).await;
+    site.store.set_outage(true);
+    let leaving = site.plain_addresses[0];
+    site.replicas.change(leaving, |state| state.leaving = true);
+    let arrivals = || site.replicas.state(leaving).arrivals;
+    for number in 0..20 {
+        let answer = site
+            .fetch(0, &SiteRequest::issue(&format!("c{number}")))
+            .await
+            .expect("the gateway should respond");
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(arrivals(), 1, "the answer that said so was the last");
+    // The other gateway was told.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for number in 0..20 {
+        let answer = site
+            .fetch(1, &SiteRequest::issue(&format!("d{number}")))
+            .await
+            .expect("the gateway should respond");
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(arrivals(), 1);
+}
+
+/// The first replica of a stream's chain says that it is leaving: the stream goes on to its end,
+/// and no new chain has the replica.
+#[tokio::test(flavor = "multi_thread")]
+async fn stage_that_says_that_it_is_leaving_is_in_no_new_chain() {
+    let site = start_site("gateway-leaving-stage", 1).await;
+    let first = site
+        .send(0, &SiteRequest::stream("s0", 100))
+        .await
+        .expect("the stream should open");
+    let leaving = site
+        .wait_chain("s0")
+        .await
+        .expect("the stream should have a chain")[0];
+    site.replicas.change(leaving, |state| state.leaving = true);
+    let mut seen = 0;
+    for number in 1..30 {
+        let id = format!("s{number}");
+        let response = site
+            .send(0, &SiteRequest::stream(&id, 3))
+            .await
+            .expect("the stream should open");
+        let chain = site.wait_chain(&id).await.expect("a chain");
+        seen += u32::from(chain.contains(&leaving));
+        let answer = read_response(response)
+            .await
+            .expect("the stream should complete");
+        assert_eq!(answer.event_ids(), expected_ids(3));
+    }
+    assert!(
+        seen <= 1,
+        "{seen} new chains over a replica that is leaving"
+    );
+    let answer = read_response(first)
+        .await
+        .expect("the stream should complete");
+    assert_eq!(answer.event_ids(), expected_ids(100));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn replica_that_asks_to_be_left_alone_is_left_alone() {
+    let site = start_site("gateway-rest", 1).await;
+    let resting = site.plain_addresses[0];
+    let arrivals = || site.replicas.state(resting).arrivals;
+    site.replicas.change(resting, |state| state.rest = "1.5");
+    let send_many = |prefix: &'static str, count: u32| {
+        let site = &site;
+        async move {
+            for number in 0..count {
+                let answer = site
+                    .fetch(0, &SiteRequest::issue(&format!("{prefix}{number}")))
+                    .await
+                    .expect("the gateway should respond");
+                assert_eq!(answer.status, 200, "{prefix}{number}");
+            }
+        }
+    };
+    let began = Instant::now();
+    send_many("c", 20).await;
+    assert!(began.elapsed() < Duration::from_millis(1_500));
+    assert_eq!(arrivals(), 1, "the refusal was the last");
+    // After the time it is asked again.
+    tokio::time::sleep(Duration::from_millis(1_600)).await;
+    site.replicas.change(resting, |state| state.rest = "");
+    send_many("d", 20).await;
+    assert!(arrivals() > 1, "the replica is never asked again");
+
+    // All ask for it: callers are told at once when to come back.
+    for address in &site.plain_addresses {
+        site.replicas.change(*address, |state| state.rest = "3");
+    }
+    for number in 0..2 {
+        let request = SiteRequest::issue(&format!("e{number}"));
+        site.fetch(0, &request)
+            .await
+            .expect("the gateway should respond");
+    }
+    let before: u32 = arrivals_of(&site);
+    let asked = Instant::now();
+    let answer = site
+        .fetch(0, &SiteRequest::issue("f"))
+        .await
+        .expect("the gateway should respond");
+    assert_eq!((answer.status, site.run_count("f")), (503, 0));
+    assert!(asked.elapsed() < Duration::from_millis(100));
+    let retry_after_s: f64 = answer.headers["retry-after"]
+        .to_str()
+        .expect("retry-after should be text")
+        .parse()
+        .expect("retry-after should be a number of seconds");
+    assert!(
+        (2.0..=3.0).contains(&retry_after_s),
+        "retry-after {retry_after_s}"
+    );
+    assert_eq!(arrivals_of(&site), before);
+}
+
+fn arrivals_of(site: &TestSite) -> u32 {
+    let addresses = site.plain_addresses.iter();
+    addresses
+        .map(|address| site.replicas.state(*address).arrivals)
+        .sum()
+}
--- a/tests/gateway/adapter.rs
+++ b/tests/gateway/adapter.rs
@@ -6,11 +6,12 @@
 use lynxcart::gateway::placement::OrderReply;
 use lynxcart::gateway::upstream::LayerRange;
 use lynxcart::platform::headers::{
-    caller_headers, request_meta, response_meta, upstream_request, AddedHeaders,
+    caller_headers, request_meta, response_meta, store_era, upstream_request, AddedHeaders,
 };
 use lynxcart::platform::order::{decode_report, order_reply};
 use lynxcart::platform::registry::decode_entry;
 use lynxcart::platform::serving_config::decode_config;
+use lynxcart::store::position::{EraStatement, StorePosition};
 use lynxcart::store::PlatformItem;
 
 const CONFIG: &str = r#"{"version":7,"routes":[
@@ -88,11 +89,12 @@
     let text = r#"{"service":"m","address":"10.1.0.9:80","zone":"a","version":"v1","slots":192,
         "state":"ready","cold_remaining_ms":0,"kind":"v100","born":5,"sequence":4,
         "layers":{"from":6,"to":12,"version":1}}"#;
-    let entry = decode_entry(&item(text)).unwrap();
+    let entry = decode_entry(2, &item(text)).unwrap();
     assert_eq!(
-        (entry.id.as_str(), entry.born, entry.revision),
-        ("i-1", 5, 9)
+        (entry.id.as_str(), entry.born, entry.sequence),
+        ("i-1", 5, 4)
     );
+    assert_eq!(entry.position, StorePosition::new(2, 9));
     assert_eq!(entry.layers, LayerRange { from: 6, to: 12 });
     let malformed = [
         "",
@@ -103,7 +105,7 @@
         r#"{"service":7,"address":"10.1.0.9:80","zone":"a","slots":1,"state":"ready"}"#,
     ];
     for text in malformed {
-        assert!(decode_entry(&item(text)).is_err(), "{text}");
+        assert!(decode_entry(2, &item(text)).is_err(), "{text}");
     }
 }
 
@@ -244,6 +246,84 @@
     );
 }
 
+#[test]
+fn notices_of_an_upstream_are_believed_only_in_their_plain_form() {
+    struct Case {
+        rows: &'static [(&'static str, &'static str)],
+        leaving: bool,
+        rest_ms: Option<u64>,
+    }
+    let rest = |rows, rest_ms| Case {
+        rows,
+        leaving: false,
+        rest_ms,
+    };
+    let leaving = |rows, leaving| Case {
+        rows,
+        leaving,
+        rest_ms: None,
+    };
+    let cases = [
+        leaving(&[("server-leaving", "1")], true),
+        leaving(&[("server-leaving", "0")], false),
+        leaving(&[("server-leaving", "")], false),
+        leaving(&[("server-leaving", "yes")], false),
+        leaving(&[], false),
+        rest(&[("retry-after", "2")], Some(2_000)),
+        rest(&[("retry-after", " 0.2501 ")], Some(251)),
+        rest(&[("retry-after", "0")], Some(0)),
+        rest(&[("retry-after", "-3")], None),
+        rest(&[("retry-after", "1e300")], None),
+        rest(&[("retry-after", "3601")], None),
+        rest(&[("retry-after", "inf")], None),
+        rest(&[("retry-after", "NaN")], None),
+        rest(&[("retry-after", "soon")], None),
+        rest(&[("retry-after", "Fri, 04 Dec 2026 08:00:00 GMT")], None),
+    ];
+    for case in cases {
+        let meta = response_meta("9c41", &headers(case.rows));
+        assert_eq!(
+            (meta.leaving, meta.rest_ms),
+            (case.leaving, case.rest_ms),
+            "{:?}",
+            case.rows
+        );
+    }
+}
+
+#[test]
+fn idle_time_of_a_connection_may_be_any_number() {
+    let meta = response_meta(
+        "9c41",
+        &headers(&[("keep-alive", "timeout=18446744073709551615")]),
+    );
+    assert_eq!(meta.idle_ms, Some(u64::MAX));
+}
+
+#[test]
+fn era_of_the_store_is_one_whole_number() {
+    type Rows = &'static [(&'static str, &'static str)];
+    let cases: [(Rows, EraStatement); 7] = [
+        (&[], EraStatement::Absent),
+        (&[("store-era", "3")], EraStatement::Era(3)),
+        (&[("store-era", " 3 ")], EraStatement::Era(3)),
+        (&[("store-era", "")], EraStatement::Garbled),
+        (&[("store-era", "-1")], EraStatement::Garbled),
+        (&[("store-era", "third")], EraStatement::Garbled),
+        (
+            &[("store-era", "3"), ("store-era", "4")],
+            EraStatement::Garbled,
+        ),
+    ];
+    for (rows, statement) in cases {
+        let mut map = HeaderMap::new();
+        for (name, value) in rows {
+            map.append(*name, value.parse().unwrap());
+        }
+        assert_eq!(store_era(&map), statement, "{rows:?}");
+    }
+}
+
 #[test]
 fn hop_by_hop_headers_are_not_forwarded_to_the_caller() {
     let forwarded = caller_headers(&headers(&[
--- a/tests/gateway/fixture.rs
+++ b/tests/gateway/fixture.rs
@@ -5,6 +5,7 @@
 use lynxcart::gateway::catalog::{AcceleratorKind, EngineRule, ServiceRule, ServingConfig};
 use lynxcart::gateway::plan::{plan_service, PlacementPlan, PlanAccelerator};
 use lynxcart::gateway::upstream::{LayerRange, UpstreamEntry, UpstreamKey, UpstreamTable};
+use lynxcart::store::position::StorePosition;
 
 pub(crate) const SERVICE: &str = "model";
 pub(crate) const DOMAINS: [&str; 3] = ["a", "b", "c"];
@@ -118,7 +119,8 @@
         draining: false,
         kind: kind.to_owned(),
         layers,
-        revision: 1,
+        sequence: 0,
+        position: StorePosition::new(0, 1),
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,4 +15,5 @@
 mod repair;
 mod stampede;
 mod state;
+mod store_position;
 mod upstream;
--- a/tests/gateway/peer.rs
+++ b/tests/gateway/peer.rs
@@ -52,9 +52,9 @@
             in_flight: 7,
             reserved: 1_000,
             named_ago: 1,
-            pace_milli: 0,
+            ..UpstreamLoad::default()
         }],
-        pipes: Vec::new(),
+        ..GatewayLoad::default()
     };
     let mut peers = PeerTable::default();
     assert_eq!(peers.apply_report(NOW, PEER, &load(99), &table), []);
@@ -86,3 +86,17 @@
     }
     assert_eq!(local.link_requests(&link), 1);
 }
+
+/// A replica that said to one gateway that it is leaving gets no new requests from the others.
+#[test]
+fn peers_are_told_that_a_replica_is_leaving() {
+    let (_, mut local) = placed_fleet();
+    let (_, remote) = placed_fleet();
+    let leaving = key_of(&local, "v100-a-03");
+    local.mark_leaving(leaving);
+    let mut told = Vec::new();
+    for message in PeerTable::default().load_messages(NOW, &local) {
+        told.extend(PeerTable::default().apply_report(NOW, "peer", &message, &remote));
+    }
+    assert_eq!(told, [PeerReport::Leaving(key_of(&remote, "v100-a-03"))]);
+}
--- a/tests/gateway/placement.rs
+++ b/tests/gateway/placement.rs
@@ -7,11 +7,15 @@
 };
 use lynxcart::gateway::plan::PlacementPlan;
 use lynxcart::gateway::upstream::{LayerRange, UpstreamEntry, UpstreamKey, UpstreamTable};
+use lynxcart::store::position::StorePosition;
 
 use crate::fixture::{accelerators, assigned_ids, config, entry, key_of, placed_fleet};
 
 const LEASE: i64 = 7;
-const TOKEN: u64 = 42;
+const TOKEN: StorePosition = StorePosition {
+    era: 0,
+    revision: 42,
+};
 
 fn empty_fleet() -> UpstreamTable {
     let mut table = UpstreamTable::default();
@@ -217,12 +221,12 @@
         loading = rest;
         for (_, key, layers) in done {
             let entry = table.get(key).entry.clone();
-            let revision = entry.revision + 1;
+            let revision = entry.position.revision + 1;
             table.apply_entry(
                 now,
                 UpstreamEntry {
                     layers,
-                    revision,
+                    position: StorePosition::new(0, revision),
                     ..entry
                 },
             );
@@ -382,7 +386,7 @@
         start,
         UpstreamEntry {
             born: 2,
-            revision: 9,
+            position: StorePosition::new(0, 9),
             layers: LayerRange::default(),
             ..loaded.clone()
         },
@@ -392,3 +396,125 @@
     assert_eq!(orders.len(), 1);
     assert_eq!((orders[0].layers, orders[0].sequence), (loaded.layers, 0));
 }
+
+/// Brings a controller without the lease to the point at which it holds it with this token.
+fn reclaim(
+    controller: &mut PlacementController,
+    now: ClockTime,
+    table: &UpstreamTable,
+    token: StorePosition,
+    stored: Option<PlacementPlan>,
+) {
+    let config = config();
+    for input in [
+        PlacementInput::Tick,
+        PlacementInput::VacancyChecked(true),
+        PlacementInput::LeaseGranted(Some((LEASE + 1, now))),
+        PlacementInput::LeaseClaimed(Some(token)),
+        PlacementInput::PlanRead(stored),
+    ] {
+        controller.handle(now, input, &config, table);
+    }
+    assert!(controller.is_lease_holder(now));
+}
+
+#[test]
+fn restore_of_the_store_ends_the_lease_without_revoking_it() {
+    let (plan, mut table) = placed_fleet();
+    let start = ClockTime(1_000);
+    let mut controller = lease_holder(start, &table, Some(plan.clone()));
+    table.report_dead(start, key_of(&table, &assigned_ids(&plan, "a")[0]));
+    let outputs = controller.handle(
+        start + 10,
+        PlacementInput::StoreRestored(1),
+        &config(),
+        &table,
+    );
+    assert!(!controller.is_lease_holder(start + 10));
+    // Its id may be that of another VM's lease by now.
+    assert!(
+        !outputs.contains(&PlacementOutput::RevokeLease(LEASE)),
+        "{outputs:?}"
+    );
+    assert!(orders(&outputs).is_empty());
+    // A renewal that was under way changes nothing.
+    let late = PlacementInput::LeaseRenewed(true, start + 5);
+    controller.handle(start + 20, late, &config(), &table);
+    assert!(!controller.is_lease_holder(start + 20));
+
+    let later = start + 2_000;
+    // The revision of the new claim is lower than that of the first.
+    let token = StorePosition::new(1, 7);
+    reclaim(&mut controller, later, &table, token, Some(plan.clone()));
+    table.report_dead(later, key_of(&table, &assigned_ids(&plan, "a")[0]));
+    let (outputs, _) = next_orders(&mut controller, &table, later);
+    for order in orders(&outputs) {
+        assert!(order.token > TOKEN && order.token.fencing_token() > TOKEN.fencing_token());
+    }
+}
+
+#[test]
+fn lease_of_the_new_era_outlives_news_of_the_restore() {
+    let (plan, table) = placed_fleet();
+    let start = ClockTime(1_000);
+    let mut controller = PlacementController::new(start);
+    reclaim(
+        &mut controller,
+        start,
+        &table,
+        StorePosition::new(2, 7),
+        Some(plan),
+    );
+    controller.handle(
+        start + 10,
+        PlacementInput::StoreRestored(2),
+        &config(),
+        &table,
+    );
+    assert!(controller.is_lease_holder(start + 10));
+}
+
+/// After a restore the stored plan is missing, or older than what replicas were ordered to hold.
+#[test]
+fn plan_is_rebuilt_from_what_replicas_hold_after_a_restore() {
+    let (plan, mut table) = placed_fleet();
+    // A spare, so that no layer of its domain is left without a holder.
+    let spare = plan.slots.iter().find(|slot| slot.spare).unwrap();
+    let moved = table.get(key_of(&table, &spare.id)).entry.clone();
+    let layers = LayerRange { from: 3, to: 9 };
+    table.apply_entry(
+        ClockTime(10),
+        UpstreamEntry {
+            layers,
+            position: StorePosition::new(0, 2),
+            ..moved
+        },
+    );
+    for (name, stored) in [("missing", None), ("older", Some(plan.clone()))] {
+        let start = ClockTime(1_000);
+        let mut controller = PlacementController::new(start);
+        let token = StorePosition::new(1, 7);
+        reclaim(&mut controller, start, &table, token, stored);
+        let mut rebuilt = None;
+        for step in 1..40 {
+            let now = start + step * 100;
+            let outputs = controller.handle(now, PlacementInput::Tick, &config(), &table);
+            assert_eq!(orders(&outputs), Vec::<&_>::new(), "{name}");
+            for output in outputs {
+                if let PlacementOutput::StorePlan(plan, at) = output {
+                    assert_eq!(at, token, "{name}");
+                    rebuilt = Some(plan);
+                }
+            }
+            let renewed = PlacementInput::LeaseRenewed(true, now);
+            controller.handle(now, renewed, &config(), &table);
+        }
+        let rebuilt = rebuilt.unwrap_or_else(|| panic!("{name}: no plan was stored"));
+        assert_eq!(rebuilt.era, 1, "{name}");
+        assert_eq!(rebuilt.slots.len(), plan.slots.len(), "{name}");
+        for slot in &rebuilt.slots {
+            let record = table.get(key_of(&table, &slot.id));
+            assert_eq!(slot.layers(), record.entry.layers, "{name}: {}", slot.id);
+        }
+    }
+}
--- a/tests/gateway/repair.rs
+++ b/tests/gateway/repair.rs
@@ -6,6 +6,7 @@
 use lynxcart::clock::ClockTime;
 use lynxcart::gateway::repair::{repair_steps, RepairStep};
 use lynxcart::gateway::upstream::{LayerRange, UpstreamEntry, UpstreamTable};
+use lynxcart::store::position::StorePosition;
 use proptest::prelude::*;
 
 use crate::fixture::{assigned_ids, engine, entry, key_of, placed_fleet, DOMAINS, SERVICE};
@@ -59,7 +60,7 @@
     let key = key_of(&table, "v100-a-00");
     table.report_dead(NOW, key);
     let heartbeat = |revision| UpstreamEntry {
-        revision,
+        position: StorePosition::new(0, revision),
         ..placed_entry("v100-a-00")
     };
     table.apply_entry(NOW + 500, heartbeat(2));
@@ -86,7 +87,7 @@
     );
     let draining = UpstreamEntry {
         draining: true,
-        revision: 5,
+        position: StorePosition::new(0, 5),
         ..placed_entry("v100-c-00")
     };
     table.apply_entry(NOW, draining.clone());
--- a/tests/gateway/state.rs
+++ b/tests/gateway/state.rs
@@ -3,11 +3,11 @@
 use lynxcart::clock::ClockTime;
 use lynxcart::gateway::budget::BudgetRule;
 use lynxcart::gateway::catalog::{RouteRule, RouteTarget, ServingConfig, TeamRule, WorkKind};
-use lynxcart::gateway::state::{GatewaySetup, GatewayState, RequestHead};
-use lynxcart::gateway::upstream::UpstreamKey;
+use lynxcart::gateway::state::{ConfigProof, GatewaySetup, GatewayState, RequestHead};
+use lynxcart::gateway::upstream::{LayerRange, UpstreamKey};
 use lynxcart::verdict::{RefusalReason, RunVerdict};
 
-use crate::fixture::{config, placed_fleet, SERVICE};
+use crate::fixture::{config, entry, placed_fleet, SERVICE};
 
 const NOW: ClockTime = ClockTime(10_000);
 const HEAD: RequestHead<'_> = RequestHead {
@@ -118,3 +118,188 @@
         assert_eq!((record.in_flight, record.reserved_kv), (0, 0.0));
     }
 }
+
+/// The store came back from a copy that lacks the configuration in force.
+#[test]
+fn older_configuration_of_a_restored_store_proves_nothing() {
+    let mut state = state();
+    state.apply_config(ServingConfig {
+        version: 7,
+        ..serving()
+    });
+    assert_eq!(
+        state.confirm_config(NOW, NOW, 1, 7),
+        ConfigProof::Withheld {
+            newest: 7,
+            is_new: true
+        },
+        "a VM that has just started asks its peers first"
+    );
+    state.peers_read = true;
+    assert_eq!(state.confirm_config(NOW, NOW, 1, 7), ConfigProof::Renewed);
+    let restored = NOW + 1_000;
+    let withheld = state.confirm_config(restored, restored, 2, 5);
+    assert!(matches!(withheld, ConfigProof::Withheld { newest: 7, .. }));
+    // The proof from before the restore ends in its own time, and the configuration stays.
+    assert!(state.proof.is_valid(NOW + 4_000) && !state.proof.is_valid(NOW + 4_700));
+    assert!(!state.apply_config(ServingConfig {
+        version: 5,
+        ..serving()
+    }));
+    assert_eq!(state.routes.config().version, 7);
+    // The operator has written it again.
+    let rewritten = NOW + 9_000;
+    assert_eq!(
+        state.confirm_config(rewritten, rewritten, 2, 7),
+        ConfigProof::Renewed
+    );
+    assert!(state.proof.is_valid(rewritten));
+}
+
+/// A VM that starts between the restore and the operator's next write reads an old configuration.
+#[test]
+fn vm_that_knows_less_than_its_peers_stays_unready() {
+    struct Case {
+        name: &'static str,
+        era: u64,
+        other_gateways: bool,
+        /// Version that a peer has, and when it says so; `None` if no peer does.
+        peer: Option<(u64, u64)>,
+        asked_at: u64,
+        renewed: bool,
+    }
+    let case = |name, renewed| Case {
+        name,
+        era: 2,
+        other_gateways: true,
+        peer: None,
+        asked_at: 100,
+        renewed,
+    };
+    let cases = [
+        Case {
+            other_gateways: false,
+            ..case("no other gateway is registered", true)
+        },
+        Case {
+            era: 0,
+            ..case("the store is never restored", true)
+        },
+        case("no peer has said what it knows yet", false),
+        Case {
+            asked_at: 2_000,
+            ..case("no peer knows anything", true)
+        },
+        Case {
+            peer: Some((5, 50)),
+            ..case("a peer knows the same", true)
+        },
+        Case {
+            peer: Some((6, 50)),
+            asked_at: 9_000,
+            ..case("a peer knows more", false)
+        },
+    ];
+    for case in cases {
+        let mut state = state();
+        state.peers_read = true;
+        if case.other_gateways {
+            state.peer_addresses = vec!["10.0.0.1:7".parse().unwrap()];
+        }
+        state.apply_config(ServingConfig {
+            version: 5,
+            ..serving()
+        });
+        state.confirm_config(NOW, NOW, case.era, 5);
+        if let Some((version, at)) = case.peer {
+            assert!(at < case.asked_at);
+            state.apply_peer_version(version);
+        }
+        let asked_at = NOW + case.asked_at;
+        let proof = state.confirm_config(asked_at, asked_at, case.era, 5);
+        assert_eq!(proof == ConfigProof::Renewed, case.renewed, "{}", case.name);
+        assert_eq!(
+            state.proof.is_valid(asked_at),
+            case.renewed,
+            "{}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn newer_version_of_a_peer_does_not_end_a_proof_that_is_older_than_it() {
+    let mut state = state();
+    state.apply_config(serving());
+    state.confirm_config(NOW, NOW, 0, 1);
+    assert!(state.apply_peer_version(2) && !state.apply_peer_version(2));
+    assert!(state.proof.is_valid(NOW + 100));
+    // An answer from before the peer's version proves nothing any more.
+    let proof = state.confirm_config(NOW + 200, NOW + 50, 0, 1);
+    assert!(matches!(proof, ConfigProof::Withheld { newest: 2, .. }));
+    assert!(!state.proof.is_valid(NOW + 4_700));
+}
+
+fn plain_serving() -> ServingConfig {
+    let mut config = serving();
+    config.services[0].engine = None;
+    config
+}
+
+/// What callers get while replicas of a plain service ask to be left alone.
+#[test]
+fn requests_go_to_replicas_that_do_not_rest_or_are_refused_with_their_time() {
+    let mut state = state();
+    state.apply_config(plain_serving());
+    state.proof.renew(NOW);
+    for (number, id) in [(1, "x"), (2, "y")] {
+        let entry = entry(number, id, "a", "", LayerRange::default());
+        state.upstreams.apply_entry(NOW, entry);
+    }
+    let request = state.admit(NOW, &HEAD).unwrap();
+    let keys: Vec<UpstreamKey> = state.upstreams.iter().map(|(key, _)| key).collect();
+    state.upstreams.rest(NOW, keys[0], 900);
+    for _ in 0..100 {
+        // Even a replica that failed is asked before one that rests.
+        let target = state
+            .choose_target(NOW, &request, &keys[1..], None)
+            .unwrap();
+        assert_eq!(target.upstream, keys[1]);
+        state.release(&target);
+    }
+    state.upstreams.rest(NOW, keys[1], 2_000);
+    let refusal = state
+        .choose_target(NOW + 100, &request, &[], None)
+        .unwrap_err();
+    assert_eq!(refusal.verdict, RunVerdict::NotRun);
+    assert_eq!(refusal.retry_after_ms, Some(800), "when the first is back");
+    // It is not worth waiting for at the gateway, as room would be.
+    assert_eq!(refusal.reason, RefusalReason::Busy);
+    let target = state.choose_target(NOW + 900, &request, &[], None).unwrap();
+    assert_eq!(target.upstream, keys[0]);
+}
+
+#[test]
+fn chains_leave_out_replicas_that_rest() {
+    let mut state = state();
+    state.apply_config(serving());
+    state.proof.renew(NOW);
+    state.upstreams = placed_fleet().1;
+    let request = state.admit(NOW, &HEAD).unwrap();
+    let first = state.choose_target(NOW, &request, &[], None).unwrap();
+    let rested = first.chain[1].upstream;
+    state.upstreams.rest(NOW, rested, 2_000);
+    for _ in 0..50 {
+        let target = state.choose_target(NOW, &request, &[], None).unwrap();
+        assert!(target.chain.iter().all(|hop| hop.upstream != rested));
+    }
+    let keys: Vec<UpstreamKey> = state.upstreams.iter().map(|(key, _)| key).collect();
+    for key in keys {
+        state.upstreams.rest(NOW, key, 3_000);
+    }
+    let refusal = state.choose_target(NOW, &request, &[], None).unwrap_err();
+    assert_eq!(
+        (refusal.reason, refusal.retry_after_ms),
+        (RefusalReason::Busy, Some(3_000))
+    );
+}
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -3,13 +3,20 @@
 use lynxcart::clock::ClockTime;
 use lynxcart::gateway::upstream::{LayerRange, UpstreamEntry, UpstreamTable};
 
+use lynxcart::store::position::StorePosition;
+
 use crate::fixture::entry;
 
 const NOW: ClockTime = ClockTime(10_000);
 
+/// A position in a store that was never restored.
+fn at(revision: u64) -> StorePosition {
+    StorePosition::new(0, revision)
+}
+
 fn plain_entry(id: &str, revision: u64) -> UpstreamEntry {
     UpstreamEntry {
-        revision,
+        position: at(revision),
         ..entry(1, id, "a", "", LayerRange::default())
     }
 }
@@ -50,17 +57,17 @@
     let mut table = UpstreamTable::default();
     table.apply_entry(NOW, plain_entry("x", 1));
     let key = table.by_address("10.0.0.2:80".parse().unwrap()).unwrap();
-    table.remove_entry(NOW, "x", 1, false);
+    table.remove_entry(NOW, "x", at(1), false);
     assert!(
         table.get(key).usable(NOW),
         "the removal is older than the entry"
     );
-    table.remove_entry(NOW, "x", 2, false);
+    table.remove_entry(NOW, "x", at(2), false);
     assert!(table.get(key).gone);
 
     table.apply_entry(NOW, plain_entry("y", 3));
     let key = table.by_address("10.0.0.2:80".parse().unwrap()).unwrap();
-    table.remove_entry(NOW, "y", 4, true);
+    table.remove_entry(NOW, "y", at(4), true);
     assert!(
         !table.get(key).gone,
         "the entry may have lapsed although the upstream is alive"
@@ -68,7 +75,7 @@
     table.apply_entry(NOW + 1_500, plain_entry("y", 5));
     table.expire_missing(NOW + 5_000);
     assert!(table.get(key).usable(NOW + 5_000), "it registered again");
-    table.remove_entry(NOW + 5_000, "y", 6, true);
+    table.remove_entry(NOW + 5_000, "y", at(6), true);
     table.expire_missing(NOW + 8_000);
     assert!(table.get(key).gone, "it did not register again");
 }
@@ -109,3 +116,130 @@
     }
     assert!(!table.get(key).usable(NOW));
 }
+
+/// What is known of an upstream outlives a restore of the store, whose copy returns older entries
+/// under lower or repeated revisions.
+#[test]
+fn entries_of_a_restored_store_are_applied_only_if_they_are_newer() {
+    struct Case {
+        name: &'static str,
+        /// Incarnation, heartbeat number and layers of the entry that the copy has.
+        read: (u64, u64, u32),
+        /// Layers held afterwards, `None` if the upstream is not usable.
+        held: Option<u32>,
+    }
+    let cases = [
+        Case {
+            name: "written before what is known",
+            read: (5, 8, 10),
+            held: Some(20),
+        },
+        Case {
+            name: "what is known",
+            read: (5, 9, 20),
+            held: Some(20),
+        },
+        Case {
+            name: "written after the restore",
+            read: (5, 10, 30),
+            held: Some(30),
+        },
+        Case {
+            name: "of an earlier incarnation with more heartbeats",
+            read: (4, 99, 10),
+            held: Some(20),
+        },
+        Case {
+            name: "of the next incarnation",
+            read: (6, 1, 0),
+            held: Some(0),
+        },
+    ];
+    let entry_of = |(born, sequence, to): (u64, u64, u32), position| UpstreamEntry {
+        born,
+        sequence,
+        position,
+        ..entry(1, "x", "a", "", LayerRange { from: 0, to })
+    };
+    for case in cases {
+        for (state, gone) in [("alive", false), ("gone", true)] {
+            let name = format!("{} ({state})", case.name);
+            let mut table = UpstreamTable::default();
+            table.apply_entry(NOW, entry_of((5, 9, 20), StorePosition::new(1, 900)));
+            if gone {
+                table.remove_entry(NOW, "x", StorePosition::new(1, 901), false);
+            }
+            table.apply_read_entry(NOW, entry_of(case.read, StorePosition::new(2, 400)));
+            let found = table.iter().find(|(_, record)| record.usable(NOW));
+            let held = found.map(|(_, record)| record.entry.layers.to);
+            let is_newer = case.read > (5, 9, 20);
+            let expected = case.held.filter(|_| !gone || is_newer);
+            assert_eq!(held, expected, "{name}");
+            // What the upstream then writes itself is applied, whatever its revision.
+            table.apply_entry(NOW, entry_of((7, 1, 40), StorePosition::new(2, 401)));
+            let found = table.iter().find(|(_, record)| record.usable(NOW));
+            assert_eq!(
+                found.map(|(_, record)| record.entry.layers.to),
+                Some(40),
+                "{name}"
+            );
+        }
+    }
+}
+
+#[test]
+fn removal_after_a_restore_counts_although_its_revision_is_lower() {
+    let mut table = UpstreamTable::default();
+    let known = UpstreamEntry {
+        position: StorePosition::new(1, 900),
+        ..plain_entry("x", 0)
+    };
+    table.apply_entry(NOW, known);
+    let key = table.by_address("10.0.0.2:80".parse().unwrap()).unwrap();
+    table.remove_entry(NOW, "x", StorePosition::new(1, 400), false);
+    assert!(!table.get(key).gone, "an older removal of the same era");
+    table.remove_entry(NOW, "x", StorePosition::new(2, 400), false);
+    assert!(table.get(key).gone);
+}
+
+#[test]
+fn upstream_that_asks_to_be_left_alone_is_usable_again_only_after_its_time() {
+    let mut table = UpstreamTable::default();
+    table.apply_entry(NOW, plain_entry("x", 1));
+    let key = table.by_address("10.0.0.2:80".parse().unwrap()).unwrap();
+    table.rest(NOW, key, 2_000);
+    // Neither a shorter request, nor a success under way, nor a heartbeat ends the time early.
+    table.rest(NOW + 100, key, 300);
+    table.record_exchange_success(key);
+    table.apply_entry(NOW + 200, plain_entry("x", 2));
+    assert!(!table.get(key).usable(NOW + 1_999));
+    assert_eq!(table.get(key).rest_ms(NOW + 500), 1_500);
+    assert!(table.get(key).usable(NOW + 2_000));
+    // The next incarnation asked for nothing.
+    table.rest(NOW + 3_000, key, 2_000);
+    table.apply_entry(
+        NOW + 3_100,
+        UpstreamEntry {
+            born: 2,
+            ..plain_entry("x", 3)
+        },
+    );
+    let next = table.by_address("10.0.0.2:80".parse().unwrap()).unwrap();
+    assert!(table.get(next).usable(NOW + 3_100));
+}
+
+#[test]
+fn upstream_that_says_that_it_is_leaving_gets_no_new_requests_until_its_next_incarnation() {
+    let mut table = UpstreamTable::default();
+    table.apply_entry(NOW, plain_entry("x", 1));
+    let key = table.by_address("10.0.0.2:80".parse().unwrap()).unwrap();
+    let version = table.version();
+    assert!(table.mark_leaving(key));
+    assert!(
+        table.version() > version,
+        "running streams would not be rerouted"
+    );
+    assert!(!table.mark_leaving(key), "said before");
+    table.apply_entry(NOW + 100, plain_entry("x", 2));
+    assert!(!table.get(key).usable(NOW + 100));
+}
