Show what went wrong for others at the sockets, and mend what could happen here

Played against gateway processes, three were found here: bytes of an event that never ends counted as progress, so that a trickling stream of a dead replica was held to its deadline; one report that was later than 250 ms made a gateway start sound running work elsewhere; a planned stop reset the connections in its listener's queue.

Change: progress is whole events; a replica is taken for dead when it refused, or answered nothing for 450 ms, and an event counts as an answer; the listener's queue is emptied before it closes, and a new connection keeps 0.5 s for its first request; spawn_lasting starts a panicked task again; LoopPulse drops messages that were held up with the process; may_still_send is asked again before a send and includes the deadline. The stand-ins get RawReplica, which writes its answers by hand.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -268,7 +268,10 @@
         let now = gateway.clock.now();
         let refusal = {
             let mut state = gateway.state();
-            if !state.may_still_send(now, admitted) {
+            if now >= admitted.deadline {
+                let detail = "the deadline passed before the request could be sent";
+                RequestRefusal::not_run(RefusalReason::Deadline, detail)
+            } else if !state.may_still_send(now, admitted) {
                 RequestRefusal::not_run(
                     RefusalReason::PlatformOutage,
                     "the configuration cannot be shown to be the newest",
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,14 +14,18 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{watch, Mutex};
 
 use crate::gateway::forward;
 use crate::gateway::run::{Gateway, ShutdownPhase};
+use crate::gateway::task::spawn_lasting;
 
 /// Smallest read buffer of a caller's connection, bytes. It holds the request line and headers, and
 /// hyper panics if it is too small.
 const MIN_HEADER_BUFFER_BYTES: usize = 16 * 1024;
+/// Time for which a connection that has not carried a request is kept open after new requests are
+/// refused, milliseconds: its first request may be on its way, and is answered with a refusal.
+pub const FIRST_REQUEST_MS: u64 = 500;
 /// Pause after a failed accept, milliseconds.
 const ACCEPT_RETRY_MS: u64 = 20;
 
@@ -33,26 +38,55 @@
     let listener = TcpListener::bind(address)
         .await
         .wrap_err_with(|| format!("could not listen for callers on {address}"))?;
-    tokio::spawn(async move {
-        let mut shutdown = gateway.shutdown.subscribe();
-        loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                // Closing the listener makes new callers connect to another VM.
-                () = wait_for_closing(&mut shutdown) => return,
-            };
-            match accepted {
-                Ok((stream, _)) => {
-                    tokio::spawn(serve(gateway.clone(), stream));
-                }
-                Err(error) => {
-                    spdlog::warn!("event=accept_failed error=\"{error}\"");
-                    tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
-                }
+    let listener = Arc::new(Mutex::new(Some(listener)));
+    spawn_lasting("accept", move || accept(gateway.clone(), listener.clone()));
+    Ok(())
+}
+
+/// Accepts connections until a graceful shutdown closes the listener, which makes new callers
+/// connect to another VM. Connections that wait in the listener's queue then are still accepted:
+/// closing it would reset them, and their requests may have arrived.
+async fn accept(gateway: Arc<Gateway>, listener: Arc<Mutex<Option<TcpListener>>>) {
+    let mut slot = listener.lock().await;
+    let Some(listener) = slot.as_ref() else {
+        return;
+    };
+    let mut shutdown = gateway.shutdown.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = wait_for_closing(&mut shutdown) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(gateway.clone(), stream));
+            }
+            Err(error) => {
+                spdlog::warn!("event=accept_failed error=\"{error}\"");
+                tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
             }
         }
-    });
-    Ok(())
+    }
+    match slot.take().map(TcpListener::into_std) {
+        Some(Ok(listener)) => accept_queue(&gateway, &listener),
+        Some(Err(error)) => spdlog::warn!("event=accept_failed error=\"{error}\""),
+        None => {}
+    }
+}
+
+/// Accepts the connections that wait in the queue of a listener that does not block.
+fn accept_queue(gateway: &Arc<Gateway>, listener: &std::net::TcpListener) {
+    while let Ok((stream, _)) = listener.accept() {
+        let accepted = stream
+            .set_nonblocking(true)
+            .and_then(|()| TcpStream::from_std(stream));
+        match accepted {
+            Ok(stream) => {
+                tokio::spawn(serve(gateway.clone(), stream));
+            }
+            Err(error) => spdlog::warn!("event=accept_failed error=\"{error}\""),
+        }
+    }
 }
 
 async fn serve(gateway: Arc<Gateway>, stream: TcpStream) {
@@ -65,8 +99,11 @@
     // of the two limits applies to both.
     let idle_ms = limits.idle_timeout_ms.max(limits.header_timeout_ms);
     let mut shutdown = gateway.shutdown.subscribe();
+    let began = Arc::new(AtomicBool::new(false));
+    let requested = began.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = gateway.clone();
+        requested.store(true, Ordering::Relaxed);
         async move {
             let mut response = forward::handle_request(&gateway, request).await;
             if gateway.closes_connections() {
@@ -85,8 +122,18 @@
     let result = tokio::select! {
         result = connection.as_mut() => result,
         () = wait_for_closing(&mut shutdown) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            let mut ended = None;
+            if !began.load(Ordering::Relaxed) {
+                let first_request = Duration::from_millis(FIRST_REQUEST_MS);
+                ended = tokio::time::timeout(first_request, connection.as_mut()).await.ok();
+            }
+            match ended {
+                Some(result) => result,
+                None => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            }
         }
     };
     if let Err(error) = result {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,5 +28,6 @@
 pub mod run;
 pub mod state;
 pub mod sync;
+pub mod task;
 pub mod upstream;
 pub mod upstream_attempt;
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -1,18 +1,23 @@
 //! Exchanges load messages with the other gateways in authenticated datagrams.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 use eyre::WrapErr;
 use tokio::net::UdpSocket;
 
+use crate::clock::ClockTime;
 use crate::gateway::peer::{PeerReport, LOAD_INTERVAL_MS};
 use crate::gateway::run::Gateway;
+use crate::gateway::task::spawn_lasting;
 use crate::wire::gen::envelope::Body;
 use crate::wire::gen::Envelope;
 use crate::wire::WIRE_VERSION;
 
+/// Gap between two runs of the sending task from which the process counts as paused, milliseconds.
+const MAX_PULSE_GAP_MS: u64 = 4 * LOAD_INTERVAL_MS;
 /// Size of the receive buffer, bytes. The rest of a larger datagram is cut off.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
@@ -28,20 +33,55 @@
         .wrap_err_with(|| format!("could not bind the peer address {address}"))?;
     let socket = Arc::new(socket);
     let incarnation = rand::random();
-    tokio::spawn(receive(gateway.clone(), socket.clone()));
-    tokio::spawn(async move {
-        let mut tick = tokio::time::interval(Duration::from_millis(LOAD_INTERVAL_MS));
-        loop {
-            tokio::select! {
-                _ = tick.tick() => {}
-                () = gateway.peer_update.notified() => {}
-            }
-            broadcast(&gateway, &socket, incarnation).await;
-        }
+    let pulse = Arc::new(LoopPulse::default());
+    pulse.beat(gateway.clock.now());
+    let (receiving_gateway, receiving_socket) = (gateway.clone(), socket.clone());
+    let receiving_pulse = pulse.clone();
+    spawn_lasting("peer_receive", move || {
+        receive(
+            receiving_gateway.clone(),
+            receiving_socket.clone(),
+            receiving_pulse.clone(),
+        )
+    });
+    spawn_lasting("peer_send", move || {
+        send_loads(gateway.clone(), socket.clone(), pulse.clone(), incarnation)
     });
     Ok(())
 }
 
+async fn send_loads(
+    gateway: Arc<Gateway>,
+    socket: Arc<UdpSocket>,
+    pulse: Arc<LoopPulse>,
+    incarnation: u64,
+) {
+    let mut tick = tokio::time::interval(Duration::from_millis(LOAD_INTERVAL_MS));
+    loop {
+        pulse.beat(gateway.clock.now());
+        tokio::select! {
+            _ = tick.tick() => {}
+            () = gateway.peer_update.notified() => {}
+        }
+        broadcast(&gateway, &socket, incarnation).await;
+    }
+}
+
+/// When the sending task last ran. Messages that arrive long after it were held up with the whole
+/// process: they lay in the socket while the VM was suspended or starved, and tell of the past.
+#[derive(Debug, Default)]
+struct LoopPulse(AtomicU64);
+
+impl LoopPulse {
+    fn beat(&self, now: ClockTime) {
+        self.0.store(now.0, Ordering::Relaxed);
+    }
+
+    fn was_paused(&self, now: ClockTime) -> bool {
+        now.since(ClockTime(self.0.load(Ordering::Relaxed))) > MAX_PULSE_GAP_MS
+    }
+}
+
 /// Sends all known peers this gateway's load at its upstreams and on links, and the deaths and
 /// slowdowns that replicas reported to it.
 async fn broadcast(gateway: &Gateway, socket: &UdpSocket, incarnation: u64) {
@@ -71,10 +111,14 @@
     }
 }
 
-async fn receive(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
+async fn receive(gateway: Arc<Gateway>, socket: Arc<UdpSocket>, pulse: Arc<LoopPulse>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
+            // The peers send the same again within an interval.
+            Ok((_, from)) if pulse.was_paused(gateway.clock.now()) => {
+                spdlog::debug!("event=load_dropped peer={from} error=held_up");
+            }
             Ok((length, from)) => handle_frame(&gateway, &buffer[..length], from),
             Err(error) => {
                 spdlog::debug!("event=load_receive_failed error=\"{error}\"");
--- a/src/gateway/placement_runner.rs
+++ b/src/gateway/placement_runner.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Mutex};
 
 use crate::gateway::placement::{
     OrderReply, PlacementController, PlacementInput, PlacementOrder, PlacementOutput, LEASE_MS,
@@ -55,8 +55,9 @@
 pub(super) async fn run_placement(
     gateway: Arc<Gateway>,
     store: KvStore,
-    mut release_receiver: mpsc::Receiver<oneshot::Sender<()>>,
+    release_receiver: Arc<Mutex<mpsc::Receiver<oneshot::Sender<()>>>>,
 ) {
+    let mut release_receiver = release_receiver.lock().await;
     let delay = rand::random_range(0..MAX_CLAIM_DELAY_MS);
     let mut controller = PlacementController::new(gateway.clock.now() + delay);
     let (input_sender, mut input_receiver) = mpsc::channel(256);
@@ -127,7 +128,7 @@
     let count = u64::try_from(replicas.len()).unwrap_or(u64::MAX).max(1);
     for (key, address, id) in replicas {
         tokio::time::sleep(Duration::from_millis(SLOWDOWN_SPREAD_MS / count)).await;
-        let Some(report) = fetch_report(&gateway, key, address, &id).await else {
+        let Ok(report) = fetch_report(&gateway, key, address, &id).await else {
             continue;
         };
         let now = gateway.clock.now();
@@ -386,7 +387,7 @@
         return OrderReply::Rejected;
     }
     match send_to_replica(gateway, order.upstream, request, ORDER_TIMEOUT_MS).await {
-        Some((status, body)) => {
+        Ok((status, body)) => {
             if status >= 300 {
                 let text = String::from_utf8_lossy(&body);
                 spdlog::warn!("event=order_refused upstream={id} status={status} body=\"{text}\"");
@@ -394,11 +395,11 @@
             match order_reply(status) {
                 OrderReply::Conflict(_) => {
                     let report = fetch_report(gateway, order.upstream, address, &id).await;
-                    OrderReply::Conflict(report.map(|report| report.accepted_orders))
+                    OrderReply::Conflict(report.ok().map(|report| report.accepted_orders))
                 }
                 reply => reply,
             }
         }
-        None => OrderReply::Unanswered,
+        Err(_) => OrderReply::Unanswered,
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -38,7 +38,11 @@
     splitter: EventSplitter,
     avoid: Vec<UpstreamKey>,
     finished: bool,
+    /// Time since the last whole event, in steps of [`SILENCE_CHECK_MS`]. Bytes of an incomplete
+    /// event are no progress.
     silent_ms: u64,
+    /// When the last whole event arrived, or the silence was last checked.
+    checked_at: ClockTime,
     /// Version of the upstream table that the chain was last checked against.
     table_version: u64,
 }
@@ -62,6 +66,7 @@
         avoid: Vec::new(),
         finished: false,
         silent_ms: 0,
+        checked_at: gateway.clock.now(),
         table_version: gateway.state().upstreams.version(),
     };
     let frames = stream::unfold(relay, |mut relay| async move {
@@ -85,25 +90,39 @@
         }
         loop {
             self.reroute_on_changes().await;
-            let remaining = self
-                .context
-                .admitted
-                .deadline
-                .since(self.gateway.clock.now());
+            let now = self.gateway.clock.now();
+            let remaining = self.context.admitted.deadline.since(now);
             if remaining == 0 {
                 return Some(self.abort("the deadline has passed"));
             }
-            let wait = remaining.min(SILENCE_CHECK_MS);
-            let frame = self.body.frame();
-            let reason = match tokio::time::timeout(Duration::from_millis(wait), frame).await {
+            let until_check = SILENCE_CHECK_MS.saturating_sub(now.since(self.checked_at));
+            if until_check == 0 {
+                self.silent_ms += SILENCE_CHECK_MS;
+                self.handle_silence().await;
+                self.checked_at = self.gateway.clock.now();
+                continue;
+            }
+            let wait = Duration::from_millis(remaining.min(until_check));
+            let reason = match tokio::time::timeout(wait, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
-                    self.silent_ms = 0;
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    let last_id = self.splitter.last_id();
                     match self.splitter.push(data) {
                         Ok(events) if events.is_empty() => continue,
                         Ok(events) => {
+                            // Comments that keep a connection alive have no id.
+                            if self.splitter.last_id() != last_id || last_id.is_none() {
+                                if self.silent_ms > 0 {
+                                    let upstream_key = self.attempt.target.upstream;
+                                    let now = self.gateway.clock.now();
+                                    let mut state = self.gateway.state();
+                                    state.upstreams.record_answer(now, upstream_key);
+                                }
+                                self.silent_ms = 0;
+                                self.checked_at = self.gateway.clock.now();
+                            }
                             self.gateway.metrics.tokens.inc();
                             return Some(Ok(events));
                         }
@@ -129,11 +148,7 @@
                         .record_exchange_failure(now, upstream_key);
                     error.to_string()
                 }
-                Err(_) => {
-                    self.silent_ms += wait;
-                    self.handle_silence().await;
-                    continue;
-                }
+                Err(_) => continue,
             };
             if let Err(abort_reason) = self.resume(&reason, self.gateway.clock.now()).await {
                 return Some(self.abort(&abort_reason));
@@ -242,6 +257,7 @@
                     self.meta = opened.meta;
                     self.body = opened.response.into_body();
                     self.splitter.restart();
+                    self.silent_ms = 0;
                     return Ok(());
                 }
                 Ok(opened) => {
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -36,7 +36,7 @@
     /// No later replica of its chain was found suspect or unregistered, or the request was rerouted
     /// around those found. Also returned if no check was due.
     Alive,
-    /// The first replica of its chain returned no valid report.
+    /// The first replica of its chain refused a query, or answered none for some time.
     Dead,
     /// Later replicas of its chain are suspect or unregistered, and the request could not be
     /// rerouted around them or may be retried at another chain instead.
@@ -59,21 +59,31 @@
         let state = gateway.state();
         let mut later_replicas = attempt.target.chain.iter().skip(1);
         later_replicas.any(|hop| state.upstreams.get(hop.upstream).may_block_requests(now))
+            || state.upstreams.get(attempt.target.upstream).owes_answer()
     };
     if !query_report && !in_doubt {
         return AttemptHealth::Alive;
     }
-    let Some(stalled) = fetch_stalled(gateway, &attempt.target).await else {
-        gateway
-            .state()
-            .upstreams
-            .suspect(now, attempt.target.upstream);
-        spdlog::warn!(
-            "event=first_replica_unresponsive request={} upstream={}",
-            context.meta.id,
-            attempt.target.upstream_id
-        );
-        return AttemptHealth::Dead;
+    let first = attempt.target.upstream;
+    let stalled = match fetch_stalled(gateway, &attempt.target).await {
+        Ok(stalled) => stalled,
+        Err(failure) => {
+            let mut state = gateway.state();
+            state.upstreams.suspect(now, first);
+            let unresponsive = state.upstreams.get(first).unresponsive(gateway.clock.now());
+            drop(state);
+            spdlog::warn!(
+                "event=first_replica_unresponsive request={} upstream={} failure={failure:?} given_up={}",
+                context.meta.id,
+                attempt.target.upstream_id,
+                unresponsive || failure == QueryFailure::Failed
+            );
+            // A replica that is only slow to answer goes on with its work.
+            return match failure {
+                QueryFailure::TimedOut if !unresponsive => AttemptHealth::Alive,
+                QueryFailure::TimedOut | QueryFailure::Failed => AttemptHealth::Dead,
+            };
+        }
     };
     let now = gateway.clock.now();
     let own_stall = stalled.iter().find(|stalled| stalled.id == context.meta.id);
@@ -180,9 +190,25 @@
     Failed(Option<UpstreamKey>),
 }
 
+/// Why a query to a replica brought no usable answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QueryFailure {
+    /// No answer arrived in time.
+    TimedOut,
+    /// The connection was refused or reset, or the answer is not usable.
+    Failed,
+}
+
 /// Returns the requests that the first replica of a chain reports as stalled, from a cached report
-/// if it is recent enough. `None` means that the replica returned no valid report.
-async fn fetch_stalled(gateway: &Gateway, target: &SendTarget) -> Option<Arc<Vec<StalledRequest>>> {
+/// if it is recent enough.
+///
+/// # Errors
+///
+/// If the replica returned no valid report.
+async fn fetch_stalled(
+    gateway: &Gateway,
+    target: &SendTarget,
+) -> Result<Arc<Vec<StalledRequest>>, QueryFailure> {
     let requested_at = gateway.clock.now();
     let cached = {
         let cached_reports = gateway
@@ -194,7 +220,7 @@
     if let Some(report) =
         cached.filter(|report| requested_at.since(report.requested_at) < MAX_REPORT_AGE_MS)
     {
-        return Some(report.stalled);
+        return Ok(report.stalled);
     }
     let stalled = Arc::new(
         fetch_report(
@@ -215,7 +241,7 @@
         .lock()
         .unwrap_or_else(PoisonError::into_inner);
     cached_reports.insert(target.upstream, report);
-    Some(stalled)
+    Ok(stalled)
 }
 
 /// Orders the first replica to move a running request to the chain of `target`. On success `target`
@@ -242,13 +268,13 @@
     );
     let mut state = gateway.state();
     match reply {
-        Some((200 | 202, _)) => {
+        Ok((200 | 202, _)) => {
             let previous = std::mem::replace(&mut attempt.target, target);
             state.release(&previous);
             RerouteOutcome::Applied
         }
         other => {
-            let address = other.and_then(|(_, body)| fault_address(&body));
+            let address = other.ok().and_then(|(_, body)| fault_address(&body));
             let faulty = address.and_then(|address| state.upstreams.by_address(address));
             if let Some(key) = faulty {
                 state.upstreams.pause(gateway.clock.now(), key);
@@ -259,27 +285,34 @@
     }
 }
 
-/// Queries a replica for its report. Returns `None` if the query is not answered or refused, or if
-/// the report is invalid.
+/// Queries a replica for its report.
+///
+/// # Errors
+///
+/// If the query is not answered or refused, or the report is invalid.
 pub async fn fetch_report(
     gateway: &Gateway,
     key: UpstreamKey,
     address: SocketAddr,
     id: &str,
-) -> Option<ReplicaReport> {
+) -> Result<ReplicaReport, QueryFailure> {
     let request = report_request(address);
-    let (status, body) = send_to_replica(gateway, key, request, REPORT_TIMEOUT_MS).await?;
+    let sent_at = gateway.clock.now();
+    let answer = send_to_replica(gateway, key, request, REPORT_TIMEOUT_MS).await;
+    let now = gateway.clock.now();
+    match answer {
+        Ok(_) => gateway.state().upstreams.record_answer(now, key),
+        Err(_) => gateway.state().upstreams.record_unanswered(key, sent_at),
+    }
+    let (status, body) = answer?;
     if status != 200 {
         spdlog::warn!("event=report_refused upstream={id} status={status}");
-        return None;
-    }
-    match decode_report(&body) {
-        Ok(report) => Some(report),
-        Err(error) => {
-            spdlog::warn!("event=report_decode_failed upstream={id} error=\"{error:#}\"");
-            None
-        }
+        return Err(QueryFailure::Failed);
     }
+    decode_report(&body).map_err(|error| {
+        spdlog::warn!("event=report_decode_failed upstream={id} error=\"{error:#}\"");
+        QueryFailure::Failed
+    })
 }
 
 /// Records that a replica says that it is leaving: it gets no new requests from this gateway, and
@@ -294,22 +327,22 @@
     }
 }
 
-/// Sends a request of this gateway's own to a replica and returns the status and body, or `None` if
-/// it fails or is not answered within `timeout_ms`. Heeds whether the replica says that it is
-/// leaving.
+/// Sends a request of this gateway's own to a replica and returns the status and body. Heeds whether
+/// the replica says that it is leaving.
+///
+/// # Errors
+///
+/// If it fails or is not answered within `timeout_ms`.
 pub(super) async fn send_to_replica(
     gateway: &Gateway,
     key: UpstreamKey,
     request: eyre::Result<Request<Full<Bytes>>>,
     timeout_ms: u64,
-) -> Option<(u16, Bytes)> {
-    let request = match request {
-        Ok(request) => request,
-        Err(error) => {
-            spdlog::error!("event=replica_request_encode_failed error=\"{error:#}\"");
-            return None;
-        }
-    };
+) -> Result<(u16, Bytes), QueryFailure> {
+    let request = request.map_err(|error| {
+        spdlog::error!("event=replica_request_encode_failed error=\"{error:#}\"");
+        QueryFailure::Failed
+    })?;
     let exchange = crate::fetch::send_whole(&gateway.client, request);
     match tokio::time::timeout(Duration::from_millis(timeout_ms), exchange).await {
         Ok(Ok(response)) => {
@@ -318,12 +351,12 @@
             if !is_other && is_leaving(response.headers()) {
                 note_leaving(gateway, key);
             }
-            Some((response.status().as_u16(), response.into_body()))
+            Ok((response.status().as_u16(), response.into_body()))
         }
         Ok(Err(error)) => {
             spdlog::warn!("event=replica_request_failed error=\"{error:#}\"");
-            None
+            Err(QueryFailure::Failed)
         }
-        Err(_) => None,
+        Err(_) => Err(QueryFailure::TimedOut),
     }
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -30,6 +30,9 @@
 /// Time after the shutdown signal during which the load balancer may still send new connections,
 /// milliseconds.
 const BALANCER_NOTICE_MS: u64 = 2_500;
+/// Time after that until the process exits if no request is in flight, milliseconds: it covers the
+/// listener's queue and the first requests of the last connections.
+const LAST_REQUESTS_MS: u64 = listener::FIRST_REQUEST_MS + 150;
 /// The process exits this long before `drain_limit_ms` has passed since the shutdown signal,
 /// milliseconds.
 const SHUTDOWN_MARGIN_MS: u64 = 400;
@@ -166,7 +169,7 @@
             gateway.shutdown.send_replace(ShutdownPhase::Closing);
         }
         let in_flight = gateway.metrics.in_flight.get();
-        if in_flight == 0 && elapsed_ms >= BALANCER_NOTICE_MS + SHUTDOWN_POLL_MS * 2 {
+        if in_flight == 0 && elapsed_ms >= BALANCER_NOTICE_MS + LAST_REQUESTS_MS {
             spdlog::info!("event=stopped code=0");
             return Ok(0);
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -311,10 +311,12 @@
         Ok(request)
     }
 
-    /// Whether an admitted request may still be sent to an upstream: one with a key needs a valid
-    /// freshness proof.
+    /// Whether an admitted request may still be sent to an upstream: its deadline has not passed, and
+    /// one with a key needs a valid freshness proof. Asked again right before each send, since the
+    /// process may have been suspended after the last time.
     pub fn may_still_send(&self, now: ClockTime, request: &AdmittedRequest) -> bool {
-        request.team.is_none() || self.proof.is_valid(now)
+        let key_proved = request.team.is_none() || self.proof.is_valid(now);
+        key_proved && now < request.deadline
     }
 
     /// Takes one retry for a service out of its budget. Returns false if none is left.
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -5,13 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Mutex};
 
 use crate::clock::ClockTime;
 use crate::gateway::discovery::{follow_gateways, register};
 use crate::gateway::placement_runner::{run_placement, PlacementHandle};
 use crate::gateway::run::Gateway;
 use crate::gateway::state::ConfigProof;
+use crate::gateway::task::spawn_lasting;
 use crate::platform::kv::{KvStore, StoreChange, WatchOutcome};
 use crate::platform::registry::{decode_entry, entry_id};
 use crate::platform::serving_config::decode_config;
@@ -50,12 +51,27 @@
 /// Starts the tasks that read the configuration, the registry and the gateways' addresses from the
 /// store, register this gateway, and run the placement controller.
 pub fn start(gateway: Arc<Gateway>, store: KvStore) -> PlacementHandle {
-    tokio::spawn(follow_config(gateway.clone(), store.clone()));
-    tokio::spawn(follow_registry(gateway.clone(), store.clone()));
-    tokio::spawn(register(gateway.clone(), store.clone()));
-    tokio::spawn(follow_gateways(gateway.clone(), store.clone()));
+    let (config_gateway, config_store) = (gateway.clone(), store.clone());
+    spawn_lasting("config", move || {
+        follow_config(config_gateway.clone(), config_store.clone())
+    });
+    let (registry_gateway, registry_store) = (gateway.clone(), store.clone());
+    spawn_lasting("registry", move || {
+        follow_registry(registry_gateway.clone(), registry_store.clone())
+    });
+    let (own_gateway, own_store) = (gateway.clone(), store.clone());
+    spawn_lasting("registration", move || {
+        register(own_gateway.clone(), own_store.clone())
+    });
+    let (other_gateway, other_store) = (gateway.clone(), store.clone());
+    spawn_lasting("gateways", move || {
+        follow_gateways(other_gateway.clone(), other_store.clone())
+    });
     let (release_sender, release_receiver) = mpsc::channel(1);
-    tokio::spawn(run_placement(gateway, store, release_receiver));
+    let release_receiver = Arc::new(Mutex::new(release_receiver));
+    spawn_lasting("placement", move || {
+        run_placement(gateway.clone(), store.clone(), release_receiver.clone())
+    });
     PlacementHandle(release_sender)
 }
 
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -24,6 +24,10 @@
 const REFUSAL_PAUSE_MS: u64 = 250;
 /// Longest time for which an upstream stays suspect after one failure, milliseconds.
 const MAX_SUSPECT_MS: u64 = 4_000;
+/// A replica that answered none of the gateway's queries over this time is taken for dead,
+/// milliseconds. One late answer is not enough: work that runs there would be started again
+/// elsewhere.
+const UNRESPONSIVE_MS: u64 = 450;
 /// Time for which a report that a replica is dead stays in force, milliseconds. The registry entry
 /// of a dead replica lapses within three heartbeats.
 const REPORTED_DEAD_MS: u64 = 4_500;
@@ -133,6 +137,11 @@
     /// Newest report to this gateway or to a peer that the upstream is dead. `None` if there was
     /// none or a later heartbeat showed that it is alive.
     death_report: Option<DeathReport>,
+    /// When the first of the queries was sent that the replica left unanswered since its last
+    /// answer. `None` if it answered the last one.
+    unanswered_since: Option<ClockTime>,
+    /// Time of the replica's last answer to this gateway.
+    answered_at: ClockTime,
     /// Time at which this gateway observed the last heartbeat.
     last_heartbeat: ClockTime,
     /// Number of times that the upstream became suspect since the last successful exchange.
@@ -193,6 +202,18 @@
         now < self.suspect_until || self.reported_dead(now)
     }
 
+    /// Whether the replica left the last query of this gateway unanswered.
+    pub fn owes_answer(&self) -> bool {
+        self.unanswered_since.is_some()
+    }
+
+    /// Whether the replica answered none of this gateway's queries for so long that it is taken for
+    /// dead.
+    pub fn unresponsive(&self, now: ClockTime) -> bool {
+        self.unanswered_since
+            .is_some_and(|since| now.since(since) >= UNRESPONSIVE_MS)
+    }
+
     /// Time since a replica reported the upstream dead to this gateway, milliseconds. `None` if no
     /// such report is in force.
     pub fn reported_dead_ago(&self, now: ClockTime) -> Option<u64> {
@@ -308,6 +329,8 @@
             said_leaving: false,
             rest_until: now,
             death_report: None,
+            unanswered_since: None,
+            answered_at: now,
             last_heartbeat: now,
             suspicions: 0,
             consecutive_failures: 0,
@@ -452,6 +475,21 @@
         record.paused_until = record.paused_until.max(now + REFUSAL_PAUSE_MS);
     }
 
+    /// Records a sign of life of a replica: an answer to a query, or an event of a stream.
+    pub fn record_answer(&mut self, now: ClockTime, key: UpstreamKey) {
+        let record = &mut self.records[key.0 as usize];
+        record.answered_at = now;
+        record.unanswered_since = None;
+    }
+
+    /// Records that a replica left a query of this gateway unanswered that was sent at `sent_at`.
+    pub fn record_unanswered(&mut self, key: UpstreamKey, sent_at: ClockTime) {
+        let record = &mut self.records[key.0 as usize];
+        // A query that was overtaken by a sign of life says nothing of the time before that.
+        let since = sent_at.max(record.answered_at);
+        record.unanswered_since.get_or_insert(since);
+    }
+
     /// Leaves an upstream alone for `rest_ms` milliseconds, since it asked for it. A shorter time
     /// than one asked for before does not end that one.
     pub fn rest(&mut self, now: ClockTime, key: UpstreamKey, rest_ms: u64) {
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -119,7 +119,11 @@
             }
         },
     };
+    // Opening the connection may have taken long, and the VM may have been suspended meanwhile.
     let now = gateway.clock.now();
+    if !gateway.state().may_still_send(now, &context.admitted) {
+        return Err(failed(AttemptFailure::NotSent));
+    }
     let request = build_request(context, &attempt.target, now, last_event_id);
     let exchange = connection.sender.try_send_request(request);
     let outcome = wait_for_head(gateway, context, &mut attempt, may_retry, exchange).await;
--- a/standins/src/kv.rs
+++ b/standins/src/kv.rs
@@ -138,6 +138,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns the revision of the store.
+    pub fn revision(&self) -> u64 {
+        self.data().revision
+    }
+
     /// Returns a copy of the store as it is now.
     pub fn copy(&self) -> StoreCopy {
         StoreCopy(self.data().clone())
--- a/standins/tests/gateway.rs
+++ b/standins/tests/gateway.rs
@@ -435,6 +435,32 @@
     }
 }
 
+/// What is written in the restored store under revisions that were given out before is not missed,
+/// though the store's revision has caught up when the gateways reach it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_under_repeated_revisions_are_seen_after_a_restore() {
+    let mut site = start_site("gateway-repeated", 2).await;
+    let copy = site.store.copy();
+    for number in 0..40 {
+        site.store
+            .put(&format!("op/other-{number}"), &number.into());
+    }
+    // Both have seen these revisions.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let seen = site.store.revision();
+    site.store.set_outage(true);
+    site.store.restore(copy);
+    site.set_api_keys(&["another-key"]);
+    assert!(site.store.revision() < seen);
+    while site.store.revision() <= seen {
+        site.store.put("op/other", &0.into());
+    }
+    site.store.set_outage(false);
+    for gateway in 0..2 {
+        wait_for_status(&site, gateway, 401).await;
+    }
+}
+
 /// Sends requests until one is answered with `status`, for a second at most.
 async fn wait_for_status(site: &TestSite, gateway: usize, status: u16) {
     for attempt in 0..50 {
@@ -467,8 +493,12 @@
         .await
         .expect("the gateway should become ready");
     tokio::time::sleep(Duration::from_secs(5)).await;
-    site.store.restore(copy);
     let accelerator = site.model_addresses[0];
+    // The last lease holder has sent it an order.
+    let token = site.store.revision();
+    site.replicas
+        .change(accelerator, |state| state.fencing_token = token);
+    site.store.restore(copy);
     let held = site.replicas.state(accelerator).layers;
     assert_ne!(held, (0, 0));
     site.replicas.change(accelerator, |state| {
--- /dev/null
+++ b/standins/tests/misbehaviour.rs
@@ -0,0 +1,286 @@
+//! What went wrong for operators of similar systems, played at the sockets of gateway processes:
+//! answers that come twice, planned stops under load, streams that are slow or stalled, processes
+//! that are paused, and replicas that are only slow to report.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use standins::raw::{RawBehaviour, RawReplica};
+use standins::site::{SiteRequest, TestSite, API_KEY};
+
+/// Longest pause between two events that callers accept before they give up on a stream.
+const MAX_CALLER_WAIT: Duration = Duration::from_secs(2);
+
+/// Number of layers that the first stage of each chain holds.
+const FIRST_LAYERS: u64 = 3;
+
+async fn start_site(name: &str) -> TestSite {
+    let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    TestSite::start(logs, 1)
+        .await
+        .expect("the site should start")
+}
+
+/// Takes all replicas of one service but the raw one out of the registry and waits until the
+/// gateway has seen it.
+async fn leave_only_raw(site: &TestSite, addresses: &[SocketAddr]) {
+    for address in addresses {
+        let id = site.replicas.state(*address).id;
+        site.replicas.change(*address, |state| state.dead = true);
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        site.store.remove(&format!("servers/{id}"));
+    }
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+}
+
+/// A replica's second copy of an answer never becomes the answer to the next request on its
+/// connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn second_copy_of_an_answer_reaches_no_other_caller() {
+    struct Case {
+        name: &'static str,
+        with_id: bool,
+        delay_ms: u64,
+        split: bool,
+    }
+    let cases = [
+        Case {
+            name: "at once",
+            with_id: true,
+            delay_ms: 0,
+            split: false,
+        },
+        Case {
+            name: "while the connection is idle",
+            with_id: true,
+            delay_ms: 5,
+            split: false,
+        },
+        Case {
+            name: "in the midst of the next request",
+            with_id: true,
+            delay_ms: 25,
+            split: false,
+        },
+        Case {
+            name: "split over two packets",
+            with_id: true,
+            delay_ms: 10,
+            split: true,
+        },
+        Case {
+            name: "without ids",
+            with_id: false,
+            delay_ms: 5,
+            split: true,
+        },
+    ];
+    let site = start_site("misbehaviour-twice").await;
+    let raw_case = |case: &Case| RawBehaviour::AnswersTwice {
+        with_id: case.with_id,
+        delay_ms: case.delay_ms,
+        split: case.split,
+    };
+    leave_only_raw(&site, &site.plain_addresses).await;
+    for (number, case) in cases.iter().enumerate() {
+        let raw = RawReplica::start(raw_case(case), Some(0))
+            .await
+            .expect("the replica should start");
+        raw.register(&site.store, &site.replicas, 0);
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let mut whole = 0;
+        for round in 0..40 {
+            let id = format!("{number}-{round}");
+            let request = match round % 2 {
+                0 => SiteRequest::issue(&id),
+                _ => SiteRequest::lookup(&id),
+            };
+            // Some callers leave before the answer, whose late copy then lies on the connection.
+            if round % 5 == 4 {
+                let left = site.fetch(0, &request);
+                let _ = tokio::time::timeout(Duration::from_millis(2), left).await;
+                continue;
+            }
+            let answer = site
+                .fetch(0, &request)
+                .await
+                .expect("the gateway should respond");
+            match answer.status {
+                200 => {
+                    assert_eq!(answer.body, format!("body of {id}"), "{}", case.name);
+                    whole += 1;
+                }
+                status => assert_eq!(status, 502, "{}: {id}", case.name),
+            }
+            tokio::time::sleep(Duration::from_millis(round % 4 * 6)).await;
+        }
+        // Without ids no answer can be told from a copy.
+        assert_eq!(whole > 0, case.with_id, "{}: {whole} answers", case.name);
+        let received = raw.received();
+        for id in received.iter().filter(|id| !id.is_empty()) {
+            let times = received.iter().filter(|other| *other == id).count();
+            let round: u32 = id.split('-').nth(1).unwrap().parse().unwrap();
+            assert!(
+                times == 1 || round % 2 == 1,
+                "{}: {id} was sent {times} times",
+                case.name
+            );
+        }
+    }
+}
+
+/// Bytes of an event that never ends are no progress: the stalled stream is resumed elsewhere
+/// before its caller gives up.
+#[tokio::test(flavor = "multi_thread")]
+async fn trickling_stream_of_a_dead_replica_is_resumed_elsewhere() {
+    let site = start_site("misbehaviour-trickle").await;
+    let raw = RawReplica::start(RawBehaviour::Trickles, None)
+        .await
+        .expect("the replica should start");
+    raw.register(&site.store, &site.replicas, FIRST_LAYERS);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let mut resumed = 0;
+    for number in 0..40 {
+        let request = SiteRequest::stream(&format!("s{number}"), 30);
+        let answer = site
+            .fetch(0, &request)
+            .await
+            .expect("the stream should complete");
+        assert_eq!(answer.event_ids(), (1..=30).collect::<Vec<u64>>());
+        assert!(
+            answer.longest_pause < MAX_CALLER_WAIT,
+            "paused for {:?}",
+            answer.longest_pause
+        );
+        resumed += u32::from(raw.received().contains(&request.id));
+        if resumed >= 2 {
+            return;
+        }
+    }
+    panic!("no stream was sent to the replica that trickles");
+}
+
+/// A replica that is slow to send events and to report goes on with its work: it is neither started
+/// elsewhere nor given up.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_stream_of_a_replica_that_is_slow_to_report_is_left_alone() {
+    let site = start_site("misbehaviour-slow").await;
+    let streams = RawBehaviour::Streams { interval_ms: 450 };
+    let raw = RawReplica::start(streams, Some(320))
+        .await
+        .expect("the replica should start");
+    raw.register(&site.store, &site.replicas, FIRST_LAYERS);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for number in 0..40 {
+        let request = SiteRequest::stream(&format!("s{number}"), 12);
+        let answer = site
+            .fetch(0, &request)
+            .await
+            .expect("the stream should complete");
+        assert_eq!(answer.event_ids(), (1..=12).collect::<Vec<u64>>());
+        if raw.received().contains(&request.id) {
+            assert_eq!(
+                (raw.received().len(), site.run_count(&request.id)),
+                (1, 0),
+                "a sound stream was started again"
+            );
+            return;
+        }
+    }
+    panic!("no stream was sent to the slow replica");
+}
+
+/// Sends a request on a new connection. Returns whether it was answered, `None` if the connection
+/// was refused.
+fn ask_once(address: SocketAddr, id: &str) -> Option<bool> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream
+        .set_read_timeout(Some(Duration::from_secs(3)))
+        .expect("the read timeout should be set");
+    let request = format!(
+        "POST /lookup/x HTTP/1.1\r\nhost: site.example\r\nx-attempt-id: {id}\r\n\
+         x-api-key: {API_KEY}\r\nx-deadline-ms: 3000\r\ncontent-length: 4\r\n\r\nbody"
+    );
+    // A caller whose request cannot be written knows that it was not read.
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut head = [0; 12];
+    Some(stream.read_exact(&mut head).is_ok() && head.starts_with(b"HTTP/1.1 "))
+}
+
+/// Callers connect all the while a gateway is stopped: each request on a connection that was
+/// accepted is answered, if only by a refusal.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_answers_requests_on_all_connections_it_accepted() {
+    let mut site = start_site("misbehaviour-stop").await;
+    let address = site.gateways[0].process.http_address;
+    let began = Instant::now();
+    let callers: Vec<_> = (0..6)
+        .map(|caller| {
+            std::thread::spawn(move || {
+                let (mut answered, mut unanswered) = (0, Vec::new());
+                for round in 0.. {
+                    if began.elapsed() > Duration::from_secs(5) {
+                        break;
+                    }
+                    match ask_once(address, &format!("{caller}-{round}")) {
+                        Some(true) => answered += 1,
+                        Some(false) => unanswered.push(began.elapsed()),
+                        None => std::thread::sleep(Duration::from_millis(1)),
+                    }
+                }
+                (answered, unanswered)
+            })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.gateways[0]
+        .process
+        .signal("TERM")
+        .expect("the signal should be sent");
+    let code = site.gateways[0]
+        .process
+        .wait_for_exit(Duration::from_secs(9))
+        .expect("the gateway should exit");
+    assert_eq!(code, 0);
+    for caller in callers {
+        let (answered, unanswered) = caller.join().expect("the caller should not panic");
+        assert!(answered > 50, "{answered} answers");
+        assert!(unanswered.is_empty(), "unanswered at {unanswered:?}");
+    }
+}
+
+/// A gateway that was paused for longer than its proof is valid serves no key with it, neither for
+/// requests that waited meanwhile nor for those that come first.
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_gateway_serves_no_key_that_was_revoked_meanwhile() {
+    let mut site = start_site("misbehaviour-pause").await;
+    let address = site.gateways[0].process.http_address;
+    assert_eq!(ask_once(address, "before"), Some(true));
+    site.gateways[0]
+        .process
+        .signal("STOP")
+        .expect("the signal should be sent");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    // The gateway cannot learn of it when it goes on.
+    site.set_api_keys(&[]);
+    site.store.set_outage(true);
+    tokio::time::sleep(Duration::from_millis(5_200)).await;
+    let waiting: Vec<_> = (0..8)
+        .map(|number| std::thread::spawn(move || ask_once(address, &format!("during-{number}"))))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.gateways[0]
+        .process
+        .signal("CONT")
+        .expect("the signal should be sent");
+    for caller in waiting {
+        let answered = caller.join().expect("the caller should not panic");
+        assert_eq!(answered, Some(true));
+    }
+    for number in 0..8 {
+        let id = format!("during-{number}");
+        assert_eq!(site.run_count(&id), 0, "{id} ran with a revoked key");
+    }
+}
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -243,3 +243,63 @@
     table.apply_entry(NOW + 100, plain_entry("x", 2));
     assert!(!table.get(key).usable(NOW + 100));
 }
+
+/// A replica is taken for dead only after it answered nothing for a while, not for one late answer.
+#[test]
+fn replica_that_is_slow_to_answer_is_not_taken_for_dead() {
+    struct Case {
+        name: &'static str,
+        /// When unanswered queries were sent, and when the replica gave a sign of life.
+        unanswered: &'static [u64],
+        answered: Option<u64>,
+        asked_at: u64,
+        unresponsive: bool,
+    }
+    let cases = [
+        Case {
+            name: "one late answer",
+            unanswered: &[0],
+            answered: None,
+            asked_at: 250,
+            unresponsive: false,
+        },
+        Case {
+            name: "no answer for a while",
+            unanswered: &[0, 350],
+            answered: None,
+            asked_at: 600,
+            unresponsive: true,
+        },
+        Case {
+            name: "a sign of life in between",
+            unanswered: &[0],
+            answered: Some(300),
+            asked_at: 600,
+            unresponsive: false,
+        },
+        Case {
+            name: "a query that a sign of life overtook",
+            unanswered: &[100],
+            answered: Some(300),
+            asked_at: 600,
+            unresponsive: false,
+        },
+    ];
+    for case in cases {
+        let mut table = UpstreamTable::default();
+        table.apply_entry(NOW, plain_entry("x", 1));
+        let key = table.by_address("10.0.0.2:80".parse().unwrap()).unwrap();
+        if let Some(answered) = case.answered {
+            table.record_answer(NOW + answered, key);
+        }
+        for sent_at in case.unanswered {
+            table.record_unanswered(key, NOW + *sent_at);
+        }
+        assert_eq!(
+            table.get(key).unresponsive(NOW + case.asked_at),
+            case.unresponsive,
+            "{}",
+            case.name
+        );
+    }
+}
