Order another replica where one is busy, and bear malformed entries and weights

Random runs over malformed input found two panics: route weights whose sum exceeds 32 bits (every request of that route), and registry entries with more layers than the model has (the placement controller, each time it looked at them).

Ruled out: a longer pause alone (the range stays without a holder); leaving the entry to the crash of the task (it would meet the same entry again).

Change: a replica that refuses an order although the expected count was right gets no other for 1 s and counts with what it holds, so that another one takes the range. Entries that state layers beyond the model are left out of repair and plan; weights are added in 64 bits. Pauses after refusals grow while the replica sends no heartbeats: 5 requests over a dead one in 4 s where there were 16.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -326,16 +326,17 @@
 /// Picks a target in proportion to the weights, by a random `draw`. Returns `None` if there are no
 /// targets, and the first target if all weights are zero.
 pub fn pick_target(targets: &[RouteTarget], draw: u32) -> Option<&RouteTarget> {
-    let total: u32 = targets.iter().map(|target| target.weight).sum();
+    let total: u64 = targets.iter().map(|target| u64::from(target.weight)).sum();
     if total == 0 {
         return targets.first();
     }
-    let mut remainder = draw % total;
+    let mut remainder = u64::from(draw) % total;
     for target in targets {
-        if remainder < target.weight {
+        let weight = u64::from(target.weight);
+        if remainder < weight {
             return Some(target);
         }
-        remainder -= target.weight;
+        remainder -= weight;
     }
     None
 }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -33,6 +33,8 @@
 /// Time allowed for an order beyond its expected load time, milliseconds: the order may have been
 /// accepted although no reply arrived.
 const ORDER_GRACE_MS: u64 = 2_500;
+/// How long a replica that refused an order because of its state gets no other, milliseconds.
+const BUSY_REPLICA_MS: u64 = 1_000;
 /// Interval between two comparisons of the plan with the layers that replicas hold, milliseconds.
 const RECONCILE_INTERVAL_MS: u64 = 300;
 
@@ -174,6 +176,9 @@
     empty_since: HashMap<UpstreamKey, ClockTime>,
     reconcile_at: ClockTime,
     pending: HashMap<UpstreamKey, PendingOrder>,
+    /// Replicas that refused an order because of their state, and the time until which they get no
+    /// other. None of them has a pending order.
+    busy_until: HashMap<UpstreamKey, ClockTime>,
     /// Number of orders that each replica has accepted, as far as this lease holder knows.
     accepted_orders: HashMap<UpstreamKey, u64>,
     /// Whether a graceful shutdown has begun. The lease is not claimed after that.
@@ -192,6 +197,7 @@
             empty_since: HashMap::new(),
             reconcile_at: ClockTime::default(),
             pending: HashMap::new(),
+            busy_until: HashMap::new(),
             accepted_orders: HashMap::new(),
             releasing: false,
         }
@@ -334,6 +340,7 @@
         self.plan_read = false;
         self.lease_acquired_at = now;
         self.pending.clear();
+        self.busy_until.clear();
         self.accepted_orders.clear();
         self.empty_since.clear();
         outputs.push(PlacementOutput::Log(format!(
@@ -413,6 +420,12 @@
             OrderReply::Accepted | OrderReply::Done => {
                 self.accepted_orders.insert(key, pending.sequence + 1);
             }
+            // The count was right, so the replica is in the midst of something: most often it still
+            // serves requests over layers that it gives up, which may take as long as they do.
+            OrderReply::Conflict(Some(sequence)) if sequence == pending.sequence => {
+                self.pending.remove(&key);
+                self.busy_until.insert(key, now + BUSY_REPLICA_MS);
+            }
             OrderReply::Conflict(sequence) => {
                 // A higher count means that the replica accepted more orders than this lease holder
                 // knows of, and may be loading.
@@ -447,6 +460,7 @@
         let LeasePhase::Holding { token, .. } = self.phase else {
             return;
         };
+        self.busy_until.retain(|_, until| now < *until);
         self.pending.retain(|key, pending| {
             let record = table.get(*key);
             let loaded = record.entry.layers == pending.layers;
@@ -461,7 +475,11 @@
                 continue;
             };
             let pending = self.pending.iter();
-            let pending = pending.map(|(key, order)| (*key, order.layers)).collect();
+            let pending = pending.map(|(key, order)| (*key, order.layers));
+            // Another replica takes over what a busy one was to hold.
+            let busy = self.busy_until.keys();
+            let busy = busy.map(|key| (*key, table.get(*key).entry.layers));
+            let pending = pending.chain(busy).collect();
             let steps = repair_steps(now, &plan, &rule.name, engine, table, &pending);
             let added = self.extend_plan(now, &rule.name, engine, table, &steps);
             if let Some(plan) = self.plan.as_ref().filter(|_| added > 0) {
@@ -633,8 +651,11 @@
 /// and spare slots for the others. `None` if they do not hold every layer.
 fn held_plan(engine: &EngineRule, service: &str, table: &UpstreamTable) -> Option<PlacementPlan> {
     let records = table.iter().map(|(_, record)| record);
-    let registered =
-        records.filter(|record| record.entry.service == service && record.registered());
+    let registered = records.filter(|record| {
+        let entry = &record.entry;
+        let plausible = entry.layers.lies_within(engine.layers);
+        entry.service == service && record.registered() && plausible
+    });
     let (holders, empty): (Vec<&UpstreamEntry>, Vec<&UpstreamEntry>) = registered
         .map(|record| &record.entry)
         .partition(|entry| !entry.layers.is_empty());
--- a/src/gateway/repair.rs
+++ b/src/gateway/repair.rs
@@ -45,6 +45,8 @@
         .iter()
         .filter(|(_, record)| record.entry.service == service && record.registered())
         .filter(|(_, record)| !record.reported_dead(now))
+        // An entry that states layers which the model does not have is not to be relied on.
+        .filter(|(_, record)| record.entry.layers.lies_within(engine.layers))
         .map(|(key, record)| LiveReplica {
             key,
             id: record.entry.id.clone(),
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -20,8 +20,13 @@
 const FAILURES_TO_SUSPECT: u32 = 3;
 /// Weight of the newest exchange in the moving average of the failure rate.
 const FAILURE_RATE_SMOOTHING: f64 = 0.1;
-/// Time for which a replica is paused after it refused a request or an order, milliseconds.
+/// Time for which a replica is paused after it refused a request or an order, or was named as the
+/// cause, milliseconds. It doubles with each further time while no heartbeat of the replica
+/// arrives, up to [`MAX_REFUSAL_PAUSE_MS`]: without heartbeats it is most likely dead, and each
+/// request over it costs its caller an attempt.
 const REFUSAL_PAUSE_MS: u64 = 250;
+/// Longest pause after a refusal, milliseconds.
+const MAX_REFUSAL_PAUSE_MS: u64 = 2_000;
 /// Longest time for which an upstream stays suspect after one failure, milliseconds.
 const MAX_SUSPECT_MS: u64 = 4_000;
 /// A replica that answered none of the gateway's queries over this time is taken for dead,
@@ -52,6 +57,11 @@
         self.to.saturating_sub(self.from)
     }
 
+    /// Whether the range is one of a model with this many layers.
+    pub fn lies_within(self, layers: u32) -> bool {
+        self.from <= self.to && self.to <= layers
+    }
+
     /// Whether the range contains no layer.
     pub fn is_empty(self) -> bool {
         self.len() == 0
@@ -130,6 +140,10 @@
     /// End of the time for which the upstream is paused: it refused a request or an order, or a
     /// refusal named it as the cause.
     paused_until: ClockTime,
+    /// Time of the refusal that began the last pause.
+    last_refusal: ClockTime,
+    /// Number of pauses in a row before the last one without a heartbeat in between.
+    refusals: u32,
     /// Whether the upstream has said in an answer to this gateway that it is leaving.
     pub said_leaving: bool,
     /// End of the time for which the upstream itself asked to be left alone.
@@ -326,6 +340,8 @@
             gone_at: None,
             suspect_until: now,
             paused_until: now,
+            last_refusal: ClockTime::default(),
+            refusals: 0,
             said_leaving: false,
             rest_until: now,
             death_report: None,
@@ -468,11 +484,19 @@
         (slowdown - previous).abs() > previous * SLOWDOWN_CHANGE
     }
 
-    /// Makes a replica unusable for `REFUSAL_PAUSE_MS` after it refused a request or an order: it
-    /// has no capacity, or may turn out to be dead.
+    /// Makes a replica unusable for a while after it refused a request or an order, or a refusal
+    /// named it as the cause: it has no capacity, or may turn out to be dead. Refusals that arrive
+    /// during the pause were under way when it began, and do not lengthen it.
     pub fn pause(&mut self, now: ClockTime, key: UpstreamKey) {
         let record = &mut self.records[key.0 as usize];
-        record.paused_until = record.paused_until.max(now + REFUSAL_PAUSE_MS);
+        if now < record.paused_until {
+            return;
+        }
+        let alive = record.last_heartbeat > record.last_refusal;
+        record.refusals = if alive { 0 } else { record.refusals + 1 };
+        record.last_refusal = now;
+        let pause_ms = REFUSAL_PAUSE_MS << record.refusals.min(8);
+        record.paused_until = now + pause_ms.min(MAX_REFUSAL_PAUSE_MS);
     }
 
     /// Records a sign of life of a replica: an answer to a query, or an event of a stream.
--- a/standins/tests/gateway.rs
+++ b/standins/tests/gateway.rs
@@ -334,6 +334,38 @@
     );
 }
 
+/// Streams that outlast the bound of a graceful shutdown, some of them stalled, do not keep the
+/// process from exiting before the platform kills it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_graceful_shutdown_ends_at_its_bound() {
+    let mut site = start_site("gateway-bound", 1).await;
+    let mut streams = Vec::new();
+    for number in 0..8 {
+        let request = SiteRequest::stream(&format!("s{number}"), 5_000);
+        let stream = site.send(0, &request).await;
+        streams.push(stream.expect("the stream should open"));
+    }
+    let chain = site
+        .wait_chain("s0")
+        .await
+        .expect("the stream should have a chain");
+    let held = site.replicas.state(chain[1]).layers;
+    for address in &site.model_addresses {
+        if site.replicas.state(*address).layers == held {
+            site.replicas.change(*address, |state| state.dead = true);
+        }
+    }
+    site.gateways[0]
+        .process
+        .signal("TERM")
+        .expect("the signal should be sent");
+    let code = site.gateways[0]
+        .process
+        .wait_for_exit(Duration::from_secs(8))
+        .expect("the gateway should exit before it is killed");
+    assert_eq!(code, 3, "requests were cut short");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn upstream_work_ends_soon_after_the_caller_disconnects() {
     let site = start_site("gateway-left", 1).await;
@@ -449,6 +481,8 @@
     tokio::time::sleep(Duration::from_secs(2)).await;
     let seen = site.store.revision();
     site.store.set_outage(true);
+    // No watch waits any more that the restore could cut.
+    tokio::time::sleep(Duration::from_millis(300)).await;
     site.store.restore(copy);
     site.set_api_keys(&["another-key"]);
     assert!(site.store.revision() < seen);
@@ -494,10 +528,9 @@
         .expect("the gateway should become ready");
     tokio::time::sleep(Duration::from_secs(5)).await;
     let accelerator = site.model_addresses[0];
-    // The last lease holder has sent it an order.
-    let token = site.store.revision();
+    // The last lease holder sent it an order, in a store that others write to as well.
     site.replicas
-        .change(accelerator, |state| state.fencing_token = token);
+        .change(accelerator, |state| state.fencing_token = 1_000_000);
     site.store.restore(copy);
     let held = site.replicas.state(accelerator).layers;
     assert_ne!(held, (0, 0));
@@ -507,7 +540,7 @@
         state.layers = (0, 0);
     });
     let began = Instant::now();
-    while site.replicas.state(accelerator).layers == (0, 0) {
+    while site.replicas.state(accelerator).layers != held {
         assert!(
             began.elapsed() < Duration::from_secs(12),
             "the accelerator was not reloaded"
--- a/tests/gateway/placement.rs
+++ b/tests/gateway/placement.rs
@@ -518,3 +518,64 @@
         }
     }
 }
+
+/// A replica that still serves requests over layers that it gives up refuses orders for seconds.
+#[test]
+fn range_that_a_busy_replica_refuses_goes_to_another_one() {
+    let (plan, mut table) = placed_fleet();
+    let start = ClockTime(1_000);
+    let mut controller = lease_holder(start, &table, Some(plan.clone()));
+    let dead = key_of(&table, &assigned_ids(&plan, "b")[0]);
+    table.report_dead(start, dead);
+    let (outputs, now) = next_orders(&mut controller, &table, start);
+    let refused = orders(&outputs)[0].clone();
+    for order in orders(&outputs) {
+        let reply = match order.upstream == refused.upstream {
+            true => OrderReply::Conflict(Some(order.sequence)),
+            false => OrderReply::Accepted,
+        };
+        let answered = PlacementInput::OrderAnswered(order.upstream, reply);
+        controller.handle(now, answered, &config(), &table);
+    }
+    let (outputs, later) = next_orders(&mut controller, &table, now);
+    assert!(later.since(now) < 700, "a hole of {} ms", later.since(now));
+    let others = orders(&outputs);
+    assert!(
+        others
+            .iter()
+            .all(|order| order.upstream != refused.upstream),
+        "the busy replica was ordered again: {others:?}"
+    );
+    let covered = |layer| {
+        let mut ranges = others.iter().map(|order| order.layers);
+        ranges.any(|range| range.from <= layer && layer < range.to)
+    };
+    assert!((refused.layers.from..refused.layers.to).all(covered));
+}
+
+/// Without another replica for the range, the busy one is asked again, but not all the time.
+#[test]
+fn busy_replica_is_ordered_again_after_a_while() {
+    let (plan, mut table) = placed_fleet();
+    let start = ClockTime(1_000);
+    let mut controller = lease_holder(start, &table, Some(plan.clone()));
+    table.report_dead(start, key_of(&table, &assigned_ids(&plan, "b")[0]));
+    let mut sent = 0;
+    for step in 1..40 {
+        let now = start + step * 100;
+        let outputs = controller.handle(now, PlacementInput::Tick, &config(), &table);
+        for order in orders(&outputs) {
+            sent += 1;
+            let busy = OrderReply::Conflict(Some(order.sequence));
+            let answered = PlacementInput::OrderAnswered(order.upstream, busy);
+            controller.handle(now, answered, &config(), &table);
+        }
+        let renewed = PlacementInput::LeaseRenewed(true, now);
+        controller.handle(now, renewed, &config(), &table);
+    }
+    let replicas = plan.slots.iter().filter(|slot| slot.domain == "b").count();
+    assert!(
+        (1..=4 * replicas).contains(&sent),
+        "{sent} orders to {replicas} busy replicas in 4 s"
+    );
+}
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -303,3 +303,30 @@
         );
     }
 }
+
+/// A dead replica is named by the refusals of all chains over it until its entry lapses; one that
+/// only lacks room goes on with its heartbeats.
+#[test]
+fn replica_without_heartbeats_is_asked_ever_less_after_refusals() {
+    let refusals = |heartbeat_ms: Option<u64>| {
+        let mut table = UpstreamTable::default();
+        table.apply_entry(NOW, plain_entry("x", 1));
+        let key = table.by_address("10.0.0.2:80".parse().unwrap()).unwrap();
+        let mut asked = 0;
+        for ms in 1..=4_000 {
+            if heartbeat_ms.is_some_and(|interval| ms % interval == 0) {
+                table.apply_entry(NOW + ms, plain_entry("x", 1 + ms));
+            }
+            // A request is at hand at any time.
+            if table.get(key).usable(NOW + ms) {
+                asked += 1;
+                table.pause(NOW + ms, key);
+                // Refusals of requests that were under way arrive a little later.
+                table.pause(NOW + ms + 3, key);
+            }
+        }
+        asked
+    };
+    assert_eq!(refusals(None), 5, "at 0, 0.25, 0.75, 1.75 and 3.75 s");
+    assert!(refusals(Some(300)) >= 12, "a living replica is asked again");
+}
