Do not take a busy empty replica for a free one

Change: busy replicas are not among the empty ones.

Measured: empty_replica_that_refuses_... fails without the change ("ordered again after 300 ms") and passes with it.

--- a/src/gateway/repair.rs
+++ b/src/gateway/repair.rs
@@ -102,7 +102,8 @@
             by_domain: HashMap::new(),
         };
         let indexed = replicas.iter().enumerate();
-        for (index, replica) in indexed.filter(|(_, replica)| replica.layers.is_empty()) {
+        let is_free = |replica: &LiveReplica| replica.layers.is_empty() && !replica.busy;
+        for (index, replica) in indexed.filter(|(_, replica)| is_free(replica)) {
             empty.by_id.insert(replica.id.clone(), index);
             let domain = empty.by_domain.entry(replica.domain.clone());
             domain.or_default().push(index);
--- a/tests/gateway/placement.rs
+++ b/tests/gateway/placement.rs
@@ -553,6 +553,42 @@
     assert!((refused.layers.from..refused.layers.to).all(covered));
 }
 
+/// The busy replica shows no layers any more: it is not taken for a free one.
+#[test]
+fn empty_replica_that_refuses_is_not_ordered_again_at_once() {
+    let (plan, mut table) = placed_fleet();
+    let start = ClockTime(1_000);
+    let mut controller = lease_holder(start, &table, Some(plan.clone()));
+    let id = assigned_ids(&plan, "b").pop().unwrap();
+    let emptied = table.get(key_of(&table, &id)).entry.clone();
+    table.apply_entry(
+        start,
+        UpstreamEntry {
+            layers: LayerRange::default(),
+            position: StorePosition::new(0, 9),
+            ..emptied
+        },
+    );
+    let (outputs, now) = next_orders(&mut controller, &table, start);
+    let refused = orders(&outputs)[0].clone();
+    assert_eq!(refused.upstream, key_of(&table, &id));
+    let busy = OrderReply::Conflict(Some(refused.sequence));
+    let answered = PlacementInput::OrderAnswered(refused.upstream, busy);
+    controller.handle(now, answered, &config(), &table);
+    for step in 1..10 {
+        let later = now + step * 100;
+        let outputs = controller.handle(later, PlacementInput::Tick, &config(), &table);
+        let again = orders(&outputs);
+        assert!(
+            again.iter().all(|order| order.upstream != refused.upstream),
+            "ordered again after {} ms",
+            step * 100
+        );
+        let renewed = PlacementInput::LeaseRenewed(true, later);
+        controller.handle(later, renewed, &config(), &table);
+    }
+}
+
 /// Without another replica for the range, the busy one is asked again, but not all the time.
 #[test]
 fn busy_replica_is_ordered_again_after_a_while() {
