--- a/src/entry/operation.rs
+++ b/src/entry/operation.rs
@@ -31,9 +31,11 @@
 /// Time that the entry waits for an agent's reply to a cancellation, in milliseconds.
 const CANCEL_TIMEOUT_MS: u64 = 250;
 /// Longest wait for the next owner of a key, while replicas of the service live but none of them
-/// owns the key's partition, in milliseconds. A planned handover takes less; the partitions of a
-/// lost owner are taken only after its lease has expired, for which no caller is held.
-const OWNER_WAIT_MS: u64 = 1_000;
+/// owns the key's partition, in milliseconds. It covers a planned handover, and the time by which
+/// the partitions of several owners that are lost together come back one after the other: their
+/// leases end up to one renewal interval apart, and a successor looks for them each half second. The
+/// whole lease of a lost owner is longer, and no caller is held for it.
+const OWNER_WAIT_MS: u64 = 1_500;
 /// `Retry-After` of refusals, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
