--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -294,7 +294,6 @@
     let started_at = gateway.clock.now();
     let pause_ms = registry_pause_ms(gateway.config.leave_bound_ms);
     loop {
-        let queried_at = gateway.clock.now();
         let result = match after {
             None => read_registry(&gateway, &store, &status).await,
             Some(after) => watch_registry(&gateway, &store, &mut status, after).await,
@@ -309,8 +308,6 @@
                     true => pause_ms.min(MAX_STARTUP_PAUSE_MS),
                     false => pause_ms,
                 };
-                // The bound counts from the change, however long the answer took.
-                let pause = pause.saturating_sub(now.since(queried_at));
                 tokio::time::sleep(Duration::from_millis(pause)).await;
             }
             Err(error) => status.back_off(now, &error).await,
