Move plans seen from the replicas to a file of their own

Cause: placement.rs had grown by a second duty, plans rebuilt from what replicas hold.

Change: held_plan, matches_config and plan_accelerator are in held_plan.rs.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! [`state`], [`placement`] and the modules that these two use make the decisions and do no I/O.
 //! [`listener`], [`forward`], [`upstream_attempt`], [`relay`], [`reroute`], [`response`], [`pool`],
-//! [`sync`], [`discovery`], [`placement_runner`], [`peer_exchange`] and [`run`] carry them out. The
-//! names and formats of the deployment's platform are confined to [`crate::platform`].
+//! [`sync`], [`discovery`], [`placement_runner`], [`peer_exchange`], [`task`] and [`run`] carry them
+//! out. The names and formats of the deployment's platform are confined to [`crate::platform`].
 
 pub mod attempt_ledger;
 pub mod budget;
@@ -14,6 +14,7 @@
 pub mod event_stream;
 pub mod forward;
 pub mod freshness;
+pub mod held_plan;
 pub mod listener;
 pub mod peer;
 pub mod peer_exchange;
--- a/src/store/position.rs
+++ b/src/store/position.rs
@@ -32,7 +32,7 @@
     /// the revision is too large for a token.
     pub fn fencing_token(self) -> Option<u64> {
         let fits = self.era <= MAX_ERA && self.revision < 1 << REVISION_BITS;
-        fits.then(|| (self.era << REVISION_BITS) | self.revision)
+        fits.then_some((self.era << REVISION_BITS) | self.revision)
     }
 }
 
