--- a/src/entry/operation.rs
+++ b/src/entry/operation.rs
@@ -33,8 +33,8 @@
 /// Longest wait for the next owner of a key, while replicas of the service live but none of them
 /// owns the key's partition, in milliseconds. It covers a planned handover, and the time by which
 /// the partitions of several owners that are lost together come back one after the other: their
-/// leases end up to one renewal interval apart, and a successor looks for them each half second. The
-/// whole lease of a lost owner is longer, and no caller is held for it.
+/// leases end up to one renewal interval apart, and a successor looks for them each half second.
+/// The whole lease of a lost owner is longer, and no caller is held for it.
 const OWNER_WAIT_MS: u64 = 1_500;
 /// `Retry-After` of refusals, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
--- a/src/gateway/held_plan.rs
+++ b/src/gateway/held_plan.rs
@@ -1,12 +1,12 @@
-//! Plans seen from the registered replicas: the plan that they fulfil with what they hold, and whether
-//! a stored plan is one for the configuration in force.
+//! Plans seen from the registered replicas: the plan that they fulfil with what they hold, and
+//! whether a stored plan is one for the configuration in force.
 
 use crate::gateway::catalog::{EngineRule, ServingConfig};
 use crate::gateway::plan::{add_spare, PlacementPlan, PlanAccelerator, PlanSlot};
 use crate::gateway::upstream::{UpstreamEntry, UpstreamTable};
 
-/// Returns the plan that the registered replicas of a service fulfil with the layers that they hold,
-/// and spare slots for the others. `None` if they do not hold every layer.
+/// Returns the plan that the registered replicas of a service fulfil with the layers that they
+/// hold, and spare slots for the others. `None` if they do not hold every layer.
 pub fn held_plan(
     engine: &EngineRule,
     service: &str,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,8 +3,9 @@
 //!
 //! [`state`], [`placement`] and the modules that these two use make the decisions and do no I/O.
 //! [`listener`], [`forward`], [`upstream_attempt`], [`relay`], [`reroute`], [`response`], [`pool`],
-//! [`sync`], [`discovery`], [`placement_runner`], [`peer_exchange`], [`task`] and [`run`] carry them
-//! out. The names and formats of the deployment's platform are confined to [`crate::platform`].
+//! [`sync`], [`discovery`], [`placement_runner`], [`peer_exchange`], [`task`] and [`run`] carry
+//! them out. The names and formats of the deployment's platform are confined to
+//! [`crate::platform`].
 
 pub mod attempt_ledger;
 pub mod budget;
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -88,8 +88,8 @@
     }
 
     /// Applies a peer's load report. Loads that are too old count until [`Self::refresh_totals`] is
-    /// called, which the sender of this gateway's own reports does. Returns the replicas' states that it also contains, for the
-    /// caller to apply to the table.
+    /// called, which the sender of this gateway's own reports does. Returns the replicas' states
+    /// that it also contains, for the caller to apply to the table.
     pub fn apply_report(
         &mut self,
         now: ClockTime,
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -111,7 +111,8 @@
     /// Result of [`PlacementOutput::RequestLease`]: the lease's id and the time at which it was
     /// requested, or `None` if the store granted none.
     LeaseGranted(Option<(i64, ClockTime)>),
-    /// Result of [`PlacementOutput::ClaimLease`]: the position of the write, or `None` if it failed.
+    /// Result of [`PlacementOutput::ClaimLease`]: the position of the write, or `None` if it
+    /// failed.
     LeaseClaimed(Option<StorePosition>),
     /// Result of [`PlacementOutput::RenewLease`]: whether the lease still exists, and the time at
     /// which the renewal was requested.
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -327,8 +327,8 @@
     }
 }
 
-/// Sends a request of this gateway's own to a replica and returns the status and body. Heeds whether
-/// the replica says that it is leaving.
+/// Sends a request of this gateway's own to a replica and returns the status and body. Heeds
+/// whether the replica says that it is leaving.
 ///
 /// # Errors
 ///
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -194,9 +194,9 @@
     }
 
     /// Decides whether an answer of the store to a query sent at `queried_at` proves that the
-    /// configuration in force is the newest. `stored_version` is the version that the store has, zero
-    /// for none. It proves nothing if the store has an older one than this gateway or a peer knows
-    /// of: such a store was restored from an older copy, and may lack yet newer ones.
+    /// configuration in force is the newest. `stored_version` is the version that the store has,
+    /// zero for none. It proves nothing if the store has an older one than this gateway or a peer
+    /// knows of: such a store was restored from an older copy, and may lack yet newer ones.
     pub fn confirm_config(
         &mut self,
         now: ClockTime,
@@ -311,9 +311,9 @@
         Ok(request)
     }
 
-    /// Whether an admitted request may still be sent to an upstream: its deadline has not passed, and
-    /// one with a key needs a valid freshness proof. Asked again right before each send, since the
-    /// process may have been suspended after the last time.
+    /// Whether an admitted request may still be sent to an upstream: its deadline has not passed,
+    /// and one with a key needs a valid freshness proof. Asked again right before each send, since
+    /// the process may have been suspended after the last time.
     pub fn may_still_send(&self, now: ClockTime, request: &AdmittedRequest) -> bool {
         let key_proved = request.team.is_none() || self.proof.is_valid(now);
         key_proved && now < request.deadline
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -44,8 +44,8 @@
 const RETRY_BASE_MS: u64 = 80;
 /// Longest pause after a failed store request, milliseconds.
 const MAX_RETRY_MS: u64 = 640;
-/// After a failed store request or a restore of the store, milliseconds: for this time a removed registry entry may have
-/// expired only because its upstream could not reach the store to renew it.
+/// After a failed store request or a restore of the store, milliseconds: for this time a removed
+/// registry entry may have expired only because its upstream could not reach the store to renew it.
 const EXPIRY_DOUBT_MS: u64 = 5_000;
 
 /// Starts the tasks that read the configuration, the registry and the gateways' addresses from the
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -211,8 +211,9 @@
     }
 
     /// Returns the changes of keys with a prefix that were made after a position. If there is none,
-    /// waits up to `wait_ms` milliseconds for one. The wait ends at once when any answer of the store
-    /// shows that it was restored: the changes after the position would be those of other writes.
+    /// waits up to `wait_ms` milliseconds for one. The wait ends at once when any answer of the
+    /// store shows that it was restored: the changes after the position would be those of other
+    /// writes.
     ///
     /// # Errors
     ///
--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -57,8 +57,8 @@
     pub dead: bool,
     /// Fault in force, for a plain service.
     pub fault: ReplicaFault,
-    /// Whether every answer says that the replica is leaving (`server-leaving`). The registry is not
-    /// told.
+    /// Whether every answer says that the replica is leaving (`server-leaving`). The registry is
+    /// not told.
     pub leaving: bool,
     /// Text of `retry-after` with which each request is refused; empty for none.
     pub rest: &'static str,
