Withhold the proof while the store's configuration cannot be decoded

Cause: read while reviewing: after a watch that brought a configuration which cannot be decoded, the next one without a change renewed the proof for the older configuration. After a full read it did not. The newer one may revoke keys.

Change: in both cases the version in the store counts as unknown, so that the proof ends in its time and a readable configuration renews it.

--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -156,7 +156,8 @@
 struct ConfigCursor {
     /// Position from which the next watch continues.
     position: StorePosition,
-    /// Version of the configuration that the store has there; zero if it has none.
+    /// Version of the configuration that the store has there; zero if it has none, or one that could
+    /// not be decoded, with which keys may have been revoked.
     version: u64,
 }
 
@@ -230,7 +231,7 @@
             confirm_config(gateway, queried_at, position.era, version);
             Ok(Some(ConfigCursor {
                 position,
-                version: version.unwrap_or(cursor.version),
+                version: version.unwrap_or(0),
             }))
         }
         Ok(WatchOutcome::Compacted) => {
