Keep the first plan of a fleet that still loads when the lease changes hands

Change: a plan is rebuilt only if eight replicas hold layers for each empty one; a failed read of the plan is repeated twice.

Measured: next_lease_holder_does_not_change_the_plan_... fails without the change (a100-b-00 ordered to 24-53 for 0-28), passes with it.

--- a/src/gateway/held_plan.rs
+++ b/src/gateway/held_plan.rs
@@ -5,8 +5,12 @@
 use crate::gateway::plan::{add_spare, PlacementPlan, PlanAccelerator, PlanSlot};
 use crate::gateway::upstream::{UpstreamEntry, UpstreamTable};
 
+/// A plan is rebuilt only if this many replicas hold layers for each empty one.
+const MIN_HOLDERS_FOR_EACH_EMPTY: usize = 8;
+
 /// Returns the plan that the registered replicas of a service fulfil with the layers that they
-/// hold, and spare slots for the others. `None` if they do not hold every layer.
+/// hold, and spare slots for the others. `None` if they do not hold every layer, or if so many are
+/// empty that a first plan is still being carried out, which must not be replaced by another.
 pub fn held_plan(
     engine: &EngineRule,
     service: &str,
@@ -21,6 +25,9 @@
     let (holders, empty): (Vec<&UpstreamEntry>, Vec<&UpstreamEntry>) = registered
         .map(|record| &record.entry)
         .partition(|entry| !entry.layers.is_empty());
+    if empty.len() * MIN_HOLDERS_FOR_EACH_EMPTY > holders.len() {
+        return None;
+    }
     let mut plan = PlacementPlan::default();
     for entry in holders {
         let held_in_domain = plan
--- a/src/gateway/placement_runner.rs
+++ b/src/gateway/placement_runner.rs
@@ -19,7 +19,9 @@
 use crate::platform::order::{order_reply, place_request};
 use crate::platform::{PLACEMENT_LEASE_KEY, PLAN_KEY};
 use crate::store::position::StorePosition;
-use crate::store::{PlatformCompare, PlatformRequest, PlatformResponse, PlatformWrite};
+use crate::store::{
+    PlatformCompare, PlatformItem, PlatformRequest, PlatformResponse, PlatformWrite,
+};
 
 /// Interval between two ticks of the placement controller, milliseconds.
 const CONTROLLER_TICK_MS: u64 = 150;
@@ -31,6 +33,10 @@
 const SLOWDOWN_QUERY_MS: u64 = 2_000;
 /// Time over which the slowdown queries of one round are spread, milliseconds.
 const SLOWDOWN_SPREAD_MS: u64 = 1_500;
+/// Number of times that a new lease holder asks for the stored plan.
+const PLAN_READ_ATTEMPTS: u32 = 3;
+/// Pause after a failed read of the stored plan, milliseconds.
+const PLAN_READ_PAUSE_MS: u64 = 200;
 /// Timeout of a placement order, and of waiting for the release of the lease during a graceful
 /// shutdown, milliseconds.
 const ORDER_TIMEOUT_MS: u64 = 600;
@@ -302,25 +308,30 @@
     }
 }
 
-/// Reads the stored plan. Returns `None` if there is none or it cannot be read or decoded.
+/// Reads the stored plan, several times if the store does not answer: without it, another one is
+/// made. Returns `None` if there is none or it cannot be read or decoded.
 async fn read_plan(store: &KvStore) -> Option<PlacementPlan> {
-    let request = PlatformRequest::Range {
-        key: PLAN_KEY.to_owned(),
-        range_end: String::new(),
-    };
-    match store.request(request).await {
-        Ok((PlatformResponse::Range { items, .. }, _)) => {
-            let item = items.into_iter().next()?;
-            match serde_json::from_slice(&item.value) {
-                Ok(plan) => Some(plan),
-                Err(error) => {
-                    spdlog::error!("event=plan_decode_failed key={PLAN_KEY} error=\"{error}\"");
-                    None
-                }
+    for _ in 0..PLAN_READ_ATTEMPTS {
+        let request = PlatformRequest::Range {
+            key: PLAN_KEY.to_owned(),
+            range_end: String::new(),
+        };
+        match store.request(request).await {
+            Ok((PlatformResponse::Range { items, .. }, _)) => {
+                return items.into_iter().next().and_then(|item| decode_plan(&item));
             }
+            other => log_unexpected("read_plan", &other),
         }
-        other => {
-            log_unexpected("read_plan", &other);
+        tokio::time::sleep(Duration::from_millis(PLAN_READ_PAUSE_MS)).await;
+    }
+    None
+}
+
+fn decode_plan(item: &PlatformItem) -> Option<PlacementPlan> {
+    match serde_json::from_slice(&item.value) {
+        Ok(plan) => Some(plan),
+        Err(error) => {
+            spdlog::error!("event=plan_decode_failed key={PLAN_KEY} error=\"{error}\"");
             None
         }
     }
--- a/tests/gateway/placement.rs
+++ b/tests/gateway/placement.rs
@@ -287,6 +287,34 @@
     assert_eq!(controller.plan(), Some(&plan));
 }
 
+/// The lease changes hands while the fleet loads for the first time, and the stored plan cannot be
+/// read: the next holder goes on with the same plan.
+#[test]
+fn next_lease_holder_does_not_change_the_plan_of_a_fleet_that_still_loads() {
+    let (plan, mut table) = placed_fleet();
+    // Only one domain has loaded yet, so that each layer has a holder.
+    for slot in plan.slots.iter().filter(|slot| slot.domain != "a") {
+        let entry = table.get(key_of(&table, &slot.id)).entry.clone();
+        table.apply_entry(
+            ClockTime(10),
+            UpstreamEntry {
+                layers: LayerRange::default(),
+                position: StorePosition::new(0, 2),
+                ..entry
+            },
+        );
+    }
+    let start = ClockTime(1_000);
+    let mut controller = lease_holder(start, &table, None);
+    let (outputs, _) = next_orders(&mut controller, &table, start);
+    for order in orders(&outputs) {
+        let id = &table.get(order.upstream).entry.id;
+        let slot = plan.slots.iter().find(|slot| slot.id == *id).unwrap();
+        assert_eq!(order.layers, slot.layers(), "{id}");
+    }
+    assert_eq!(controller.plan().map(|plan| &plan.slots), Some(&plan.slots));
+}
+
 #[test]
 fn refused_order_is_repeated_with_the_order_count_of_the_replica() {
     let (plan, mut table) = placed_fleet();
