Log which request a replica crashed under, and whether it is the same as before

Logs named the request of a lost attempt, by the id of the caller's attempt; a resent request has another id, so that nothing showed that one request ended replica after replica. Nor did a reroute show that the hop it replaced had crashed under the request.

Change: event=crash_under_request with the request's fingerprint (team, method, path, body) and the replica, and lynxcart_crashes_under_requests_total; no change of decisions. The fingerprint moves from the entry to a file of its own and takes any parts; the entry's are the same bytes as before.

--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 
 use crate::clock::ClockTime;
+use crate::fingerprint::RequestFingerprint;
 use crate::wire::gen::{CrashNotice, CrashRecord};
 
 /// Number of crashed upstreams at or above which a request is quarantined.
@@ -24,24 +25,6 @@
 /// Maximum number of records in one [`CrashNotice`].
 const MAX_NOTICE_RECORDS: usize = 64;
 
-/// Identifies a request across resends and entries: a hash of its team, model and prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct RequestFingerprint(pub [u8; 16]);
-
-impl RequestFingerprint {
-    /// Computes the fingerprint of a request.
-    pub fn of(team: &str, model: &str, prompt: &str) -> RequestFingerprint {
-        let mut hasher = blake3::Hasher::new_derive_key("lynxcart 2026-12 crash fingerprint");
-        for part in [team, model, prompt] {
-            hasher.update(&u64::try_from(part.len()).unwrap_or(u64::MAX).to_le_bytes());
-            hasher.update(part.as_bytes());
-        }
-        let mut hash = [0; 16];
-        hasher.finalize_xof().fill(&mut hash);
-        RequestFingerprint(hash)
-    }
-}
-
 /// Crashes of upstreams counted against one request.
 #[derive(Clone, Copy, Debug)]
 struct CrashHistory {
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -8,9 +8,10 @@
 use std::collections::{BTreeMap, HashSet};
 
 use crate::clock::ClockTime;
-use crate::entry::crash::{RequestFingerprint, MAX_CRASHES, QUARANTINE_MS};
+use crate::entry::crash::{MAX_CRASHES, QUARANTINE_MS};
 use crate::entry::{AnswerEvent, EntryContext};
 use crate::event::{EventKind, PendingEvent};
+use crate::fingerprint::RequestFingerprint;
 use crate::route::{choose_chain, covers_layers, ChainQuery};
 use crate::verdict::{RefusalReason, RequestRefusal};
 use crate::wire::gen::envelope::Body;
@@ -146,7 +147,11 @@
 
     /// Starts a request, or refuses it if it is quarantined or held back or no chain is available.
     pub fn start(&mut self, cx: &mut EntryContext, request_id: RequestKey, work: GenerationWork) {
-        let fingerprint = RequestFingerprint::of(&work.team, &work.model, &work.prompt);
+        let fingerprint = RequestFingerprint::of(&[
+            work.team.as_bytes(),
+            work.model.as_bytes(),
+            work.prompt.as_bytes(),
+        ]);
         let quarantine_ms = cx.crash_table.quarantine_ms(cx.now, fingerprint);
         if let Some(remaining_ms) = quarantine_ms.or(cx.crash_table.hold_ms(cx.now, fingerprint)) {
             let detail = "upstreams died while they ran this request";
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 
 use crate::clock::ClockTime;
+use crate::fingerprint::RequestFingerprint;
 use crate::gateway::attempt_ledger::{AttemptFailure, AttemptLedger, NextStep};
 use crate::gateway::catalog::WorkKind;
 use crate::gateway::relay;
@@ -51,6 +52,8 @@
     pub meta: RequestMeta,
     /// The request as admitted: its service, team, deadline and retry rules.
     pub admitted: AdmittedRequest,
+    /// Identifies the request when its caller sends it again.
+    pub fingerprint: RequestFingerprint,
     /// When the request line and headers were received.
     pub received_at: ClockTime,
     _in_flight: InFlightGuard,
@@ -119,6 +122,7 @@
         }
     };
     let context = RequestContext {
+        fingerprint: fingerprint(&admitted, &parts, &body),
         parts,
         body,
         meta,
@@ -129,6 +133,16 @@
     serve(gateway, context).await
 }
 
+fn fingerprint(admitted: &AdmittedRequest, parts: &Parts, body: &Bytes) -> RequestFingerprint {
+    let path = parts.uri.path_and_query();
+    RequestFingerprint::of(&[
+        admitted.team.as_deref().unwrap_or("").as_bytes(),
+        parts.method.as_str().as_bytes(),
+        path.map_or("", |path| path.as_str()).as_bytes(),
+        body,
+    ])
+}
+
 fn admit(
     gateway: &Gateway,
     now: ClockTime,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod freshness;
 pub mod held_plan;
 pub mod listener;
+pub mod notice;
 pub mod peer;
 pub mod peer_exchange;
 pub mod placement;
--- /dev/null
+++ b/src/gateway/notice.rs
@@ -0,0 +1,28 @@
+//! What this gateway learns of replicas while it serves requests, for itself and its peers.
+
+use crate::gateway::forward::RequestContext;
+use crate::gateway::run::Gateway;
+use crate::gateway::upstream::UpstreamKey;
+
+/// Records that a replica says that it is leaving: it gets no new requests from this gateway, and
+/// the peers are told.
+pub fn note_leaving(gateway: &Gateway, key: UpstreamKey) {
+    let mut state = gateway.state();
+    if state.upstreams.mark_leaving(key) {
+        let id = state.upstreams.get(key).entry.id.clone();
+        drop(state);
+        gateway.peer_update.notify_one();
+        spdlog::info!("event=upstream_leaving id={id}");
+    }
+}
+
+/// Records that a replica crashed, or was cut off, while it ran a request.
+pub(super) fn note_crash(gateway: &Gateway, context: &RequestContext, key: UpstreamKey) {
+    gateway.metrics.crashes_under_requests.inc();
+    spdlog::info!(
+        "event=crash_under_request request={} fingerprint={} upstream={}",
+        context.meta.id,
+        context.fingerprint,
+        gateway.state().upstreams.get(key).entry.id
+    );
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -130,6 +130,8 @@
                     }
                 }
                 Ok(None) if self.splitter.has_partial_event() => {
+                    let upstream_key = self.attempt.target.upstream;
+                    self.attempt.note_crash(&self.context, upstream_key);
                     String::from("ended inside an event")
                 }
                 Ok(None) => {
@@ -146,6 +148,7 @@
                         .state()
                         .upstreams
                         .record_exchange_failure(now, upstream_key);
+                    self.attempt.note_crash(&self.context, upstream_key);
                     error.to_string()
                 }
                 Err(_) => continue,
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 
 use crate::gateway::forward::RequestContext;
+use crate::gateway::notice::note_leaving;
 use crate::gateway::run::{Gateway, StalledReport};
 use crate::gateway::state::SendTarget;
 use crate::gateway::upstream::UpstreamKey;
@@ -79,15 +80,20 @@
                 unresponsive || failure == QueryFailure::Failed
             );
             // A replica that is only slow to answer goes on with its work.
-            return match failure {
-                QueryFailure::TimedOut if !unresponsive => AttemptHealth::Alive,
-                QueryFailure::TimedOut | QueryFailure::Failed => AttemptHealth::Dead,
-            };
+            if failure == QueryFailure::TimedOut && !unresponsive {
+                return AttemptHealth::Alive;
+            }
+            attempt.note_crash(context, first);
+            return AttemptHealth::Dead;
         }
     };
     let now = gateway.clock.now();
     let own_stall = stalled.iter().find(|stalled| stalled.id == context.meta.id);
     let fault = own_stall.and_then(|stalled| stalled.address);
+    let fault_key = fault.and_then(|address| gateway.state().upstreams.by_address(address));
+    if let Some(key) = fault_key {
+        attempt.note_crash(context, key);
+    }
     let avoid = {
         let mut state = gateway.state();
         for address in stalled.iter().filter_map(|stalled| stalled.address) {
@@ -269,7 +275,7 @@
     let mut state = gateway.state();
     match reply {
         Ok((200 | 202, _)) => {
-            let previous = std::mem::replace(&mut attempt.target, target);
+            let previous = attempt.move_to(target);
             state.release(&previous);
             RerouteOutcome::Applied
         }
@@ -315,18 +321,6 @@
     })
 }
 
-/// Records that a replica says that it is leaving: it gets no new requests from this gateway, and
-/// the peers are told.
-pub fn note_leaving(gateway: &Gateway, key: UpstreamKey) {
-    let mut state = gateway.state();
-    if state.upstreams.mark_leaving(key) {
-        let id = state.upstreams.get(key).entry.id.clone();
-        drop(state);
-        gateway.peer_update.notify_one();
-        spdlog::info!("event=upstream_leaving id={id}");
-    }
-}
-
 /// Sends a request of this gateway's own to a replica and returns the status and body. Heeds
 /// whether the replica says that it is leaving.
 ///
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -7,7 +7,7 @@
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 
 use crate::clock::ClockTime;
 use crate::gateway::forward::RequestContext;
@@ -48,6 +48,9 @@
                 attempt.target.upstream_id,
                 result.is_err()
             );
+            if matches!(result, Ok(Err(error)) if !error.is::<LengthLimitError>()) {
+                attempt.note_crash(context, attempt.target.upstream);
+            }
             return None;
         }
     };
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -11,10 +11,9 @@
 use crate::clock::ClockTime;
 use crate::gateway::attempt_ledger::AttemptFailure;
 use crate::gateway::forward::RequestContext;
+use crate::gateway::notice::{note_crash, note_leaving};
 use crate::gateway::pool::{connect, UpstreamConnection};
-use crate::gateway::reroute::{
-    check_silent_request, note_leaving, AttemptHealth, SILENCE_CHECK_MS,
-};
+use crate::gateway::reroute::{check_silent_request, AttemptHealth, SILENCE_CHECK_MS};
 use crate::gateway::run::Gateway;
 use crate::gateway::state::SendTarget;
 use crate::gateway::upstream::UpstreamKey;
@@ -34,6 +33,8 @@
     /// The upstream and, for a model, the chain that the request was sent to.
     pub target: SendTarget,
     connection: Option<UpstreamConnection>,
+    /// Whether a crash was recorded for the replicas that the request runs on now.
+    crash_noted: bool,
 }
 
 impl Drop for UpstreamAttempt {
@@ -43,6 +44,21 @@
 }
 
 impl UpstreamAttempt {
+    /// Records that a replica crashed, or was cut off, while it ran the request. Replicas that run
+    /// the request together are counted once, since they may have crashed for one reason.
+    pub(super) fn note_crash(&mut self, context: &RequestContext, key: UpstreamKey) {
+        if std::mem::replace(&mut self.crash_noted, true) {
+            return;
+        }
+        note_crash(&self.gateway, context, key);
+    }
+
+    /// Records that the request runs at another target now. Returns the previous one.
+    pub(super) fn move_to(&mut self, target: SendTarget) -> SendTarget {
+        self.crash_noted = false;
+        std::mem::replace(&mut self.target, target)
+    }
+
     /// Returns the connection to the pool, or closes it if `meta` says that the upstream does. The
     /// body of a response whose connection is returned must have been read completely.
     pub fn release_connection(&mut self, meta: &ResponseMeta) {
@@ -96,6 +112,7 @@
         gateway: gateway.clone(),
         target,
         connection: None,
+        crash_noted: false,
     };
     let now = gateway.clock.now();
     let max_idle_ms = match context.admitted.retryable {
@@ -144,6 +161,7 @@
                 .state()
                 .upstreams
                 .record_exchange_failure(gateway.clock.now(), key);
+            attempt.note_crash(context, key);
             return Err(failed(AttemptFailure::Lost));
         }
         None => return Err(failed(AttemptFailure::Lost)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod entry;
 pub mod event;
 pub mod fetch;
+pub mod fingerprint;
 pub mod gateway;
 pub mod member;
 pub mod messaging;
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -17,6 +17,8 @@
     /// Number of tokens sent to callers by an entry, of chunks of events relayed by a gateway, or
     /// of positions sent to its engine by an agent.
     pub tokens: IntCounter,
+    /// Number of replicas that crashed, or were cut off, while they ran a gateway's request.
+    pub crashes_under_requests: IntCounter,
     /// Number of messages sent to other processes.
     pub messages_sent: IntCounter,
     /// Number of requests of an agent to the platform's key-value store; entries and gateways do
@@ -57,6 +59,10 @@
         )?;
         let in_flight = IntGauge::new("lynxcart_requests_in_flight", "Requests in flight.")?;
         let tokens = IntCounter::new("lynxcart_tokens_total", "Tokens relayed or positions run.")?;
+        let crashes_under_requests = IntCounter::new(
+            "lynxcart_crashes_under_requests_total",
+            "Replicas that crashed or were cut off while they ran a request.",
+        )?;
         let messages_sent = IntCounter::new(
             "lynxcart_mail_sent_total",
             "Messages sent to other processes.",
@@ -82,6 +88,7 @@
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(in_flight.clone()))?;
         registry.register(Box::new(tokens.clone()))?;
+        registry.register(Box::new(crashes_under_requests.clone()))?;
         registry.register(Box::new(messages_sent.clone()))?;
         registry.register(Box::new(platform_requests.clone()))?;
         registry.register(Box::new(config_revision.clone()))?;
@@ -90,6 +97,7 @@
             requests,
             in_flight,
             tokens,
+            crashes_under_requests,
             messages_sent,
             platform_requests,
             config_revision,
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -13,7 +13,8 @@
 use rand::Rng;
 
 use lynxcart::clock::ClockTime;
-use lynxcart::entry::crash::{CrashTable, RequestFingerprint, MAX_CRASHES};
+use lynxcart::entry::crash::{CrashTable, MAX_CRASHES};
+use lynxcart::fingerprint::RequestFingerprint;
 use lynxcart::verdict::RefusalReason;
 use world::{expected_tokens, seeds, World, WorldFaults, CRASH_TEXT, MODEL, TOKEN};
 
@@ -307,13 +308,13 @@
 fn quarantine_does_not_affect_another_team_with_the_same_prompt() {
     let mut crash_table = CrashTable::default();
     let now = ClockTime(1);
-    let crashing = RequestFingerprint::of("a", "m", "text");
+    let crashing = RequestFingerprint::of(&[b"a", b"m", b"text"]);
     for _ in 0..MAX_CRASHES {
         crash_table.add_crash(now, crashing);
     }
     assert!(crash_table.quarantine_ms(now, crashing).is_some());
     for (team, model, prompt) in [("b", "m", "text"), ("a", "n", "text"), ("a", "m", "other")] {
-        let other = RequestFingerprint::of(team, model, prompt);
+        let other = RequestFingerprint::of(&[team.as_bytes(), model.as_bytes(), prompt.as_bytes()]);
         assert_eq!(crash_table.quarantine_ms(now, other), None);
     }
     let later = now + lynxcart::entry::crash::QUARANTINE_MS;
