Refuse a request under which three replicas crashed, at every gateway

What callers saw: a request that crashes the replicas that run it was sent on and on; each time its caller sent it again, at any VM, up to max_attempts replicas ended, and everything that they were running with them. A stream that crashed later hops of its chain was rerouted to other replicas until its deadline.

Cause: AttemptLedger bounds the attempts of one request only. Nothing outlived the request (hypothesis 1), and reroutes are not attempts and had no bound at all (hypothesis 2). Class: a bound kept per attempt where the harm adds up over resends, reroutes and VMs.

Change: CrashLedger counts crashed replicas per request (fingerprint of team, method, path, body) as a set that gateways merge from each other's messages; the third crash quarantines it for ten minutes. Asked before each attempt, while a request waits, right before a send and before a reroute; a running stream whose chain crashed again ends. Refused with 503, since it did not run, and Retry-After. A completed answer clears the request. Marks are told three times, those with most crashes first, quarantines again and again, so that VMs that start learn of them.

Stand-ins: a request can crash the first or last replica of its chain, which is back 1.5 s later; a stream that ends no longer removes a later one of its id.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -285,6 +285,11 @@
             if now >= admitted.deadline {
                 let detail = "the deadline passed before the request could be sent";
                 RequestRefusal::not_run(RefusalReason::Deadline, detail)
+            } else if let Some(remaining_ms) = state.crashes.quarantine_ms(now, context.fingerprint)
+            {
+                let detail = "replicas crashed while they ran this request";
+                RequestRefusal::not_run(RefusalReason::Quarantined, detail)
+                    .retry_after(remaining_ms)
             } else if !state.may_still_send(now, admitted) {
                 RequestRefusal::not_run(
                     RefusalReason::PlatformOutage,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod chain;
+pub mod crash_ledger;
 pub mod discovery;
 pub mod event_stream;
 pub mod forward;
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -1,5 +1,6 @@
 //! What this gateway learns of replicas while it serves requests, for itself and its peers.
 
+use crate::gateway::crash_ledger::MAX_CRASHES;
 use crate::gateway::forward::RequestContext;
 use crate::gateway::run::Gateway;
 use crate::gateway::upstream::UpstreamKey;
@@ -19,10 +20,25 @@
 /// Records that a replica crashed, or was cut off, while it ran a request.
 pub(super) fn note_crash(gateway: &Gateway, context: &RequestContext, key: UpstreamKey) {
     gateway.metrics.crashes_under_requests.inc();
+    let now = gateway.clock.now();
+    let mut state = gateway.state();
+    let entry = &state.upstreams.get(key).entry;
+    let (id, replica) = (entry.id.clone(), entry.address);
+    let added = state
+        .crashes
+        .record_crash(now, context.fingerprint, replica, rand::random());
+    drop(state);
     spdlog::info!(
-        "event=crash_under_request request={} fingerprint={} upstream={}",
+        "event=crash_under_request request={} fingerprint={} upstream={id} crashes={added:?}",
         context.meta.id,
         context.fingerprint,
-        gateway.state().upstreams.get(key).entry.id
     );
+    if added.is_some_and(|crashes| crashes >= MAX_CRASHES) {
+        spdlog::warn!(
+            "event=request_quarantined request={} fingerprint={}",
+            context.meta.id,
+            context.fingerprint
+        );
+        gateway.peer_update.notify_one();
+    }
 }
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -13,12 +13,14 @@
 use crate::gateway::run::Gateway;
 use crate::gateway::task::spawn_lasting;
 use crate::wire::gen::envelope::Body;
-use crate::wire::gen::Envelope;
+use crate::wire::gen::{Envelope, GatewayLoad};
 use crate::wire::WIRE_VERSION;
 
 /// Gap between two runs of the sending task from which the process counts as paused, milliseconds.
 /// A gateway that is merely short of processor time comes later than its interval.
 const MAX_PULSE_GAP_MS: u64 = 10 * LOAD_INTERVAL_MS;
+/// Upper bound of the requests with crashes in one message, so that the message fits into one packet.
+const MAX_CRASHES_PER_MESSAGE: usize = 10;
 /// Size of the receive buffer, bytes. The rest of a larger datagram is cut off.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
@@ -83,8 +85,8 @@
     }
 }
 
-/// Sends all known peers this gateway's load at its upstreams and on links, and the deaths and
-/// slowdowns that replicas reported to it.
+/// Sends all known peers this gateway's load at its upstreams and on links, the deaths and slowdowns
+/// that replicas reported to it, and the replicas that crashed under requests.
 async fn broadcast(gateway: &Gateway, socket: &UdpSocket, incarnation: u64) {
     let now = gateway.clock.now();
     let (messages, peers) = {
@@ -92,6 +94,12 @@
         state.peers.refresh_totals(now);
         let mut messages = state.peers.load_messages(now, &state.upstreams);
         messages[0].config_version = state.routes.config().version;
+        let crashes = state.crashes.take_reports(now);
+        let chunks = crashes.chunks(MAX_CRASHES_PER_MESSAGE);
+        messages.extend(chunks.map(|chunk| GatewayLoad {
+            crashes: chunk.to_vec(),
+            ..GatewayLoad::default()
+        }));
         state.upstreams.reset_unreported();
         (messages, state.peer_addresses.clone())
     };
@@ -143,6 +151,11 @@
     };
     let now = gateway.clock.now();
     let state = &mut *gateway.state();
+    for report in &load.crashes {
+        if let Some(fingerprint) = state.crashes.apply_report(now, report) {
+            spdlog::warn!("event=request_quarantined fingerprint={fingerprint} peer={from}");
+        }
+    }
     if state.apply_peer_version(load.config_version) {
         spdlog::debug!(
             "event=peer_has_newer_config version={} peer={from}",
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -98,7 +98,9 @@
             let until_check = SILENCE_CHECK_MS.saturating_sub(now.since(self.checked_at));
             if until_check == 0 {
                 self.silent_ms += SILENCE_CHECK_MS;
-                self.handle_silence().await;
+                if let Err(abort_reason) = self.handle_silence().await {
+                    return Some(self.abort(&abort_reason));
+                }
                 self.checked_at = self.gateway.clock.now();
                 continue;
             }
@@ -162,7 +164,11 @@
     /// Checks the chain of a silent stream. If the chain is dead or stuck and a retry is allowed,
     /// resumes the stream at another upstream; otherwise keeps waiting, since a stream is never
     /// ended for silence alone.
-    async fn handle_silence(&mut self) {
+    ///
+    /// # Errors
+    ///
+    /// If the stream has to end, since the request crashes replicas.
+    async fn handle_silence(&mut self) -> Result<(), String> {
         let query_report = self.silent_ms % EVENT_REPORT_INTERVAL_MS < SILENCE_CHECK_MS;
         let may_retry = self.ledger.may_retry(self.gateway.clock.now());
         let attempt = &mut self.attempt;
@@ -174,6 +180,9 @@
             may_retry,
         )
         .await;
+        if health == AttemptHealth::Quarantined {
+            return Err(String::from("replicas crashed while they ran this request"));
+        }
         if health != AttemptHealth::Alive && may_retry {
             let reason = format!("no events received, chain is {health:?}");
             // The silent upstream may recover, so the resume must not wait for free capacity: a
@@ -195,6 +204,7 @@
                 );
             }
         }
+        Ok(())
     }
 
     /// Reroutes the stream around replicas that have started draining since the last check.
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -42,6 +42,9 @@
     /// Later replicas of its chain are suspect or unregistered, and the request could not be
     /// rerouted around them or may be retried at another chain instead.
     Stuck,
+    /// Replicas of its chain crashed, as others did under the same request: it must not be sent to
+    /// more of them.
+    Quarantined,
 }
 
 /// Checks the chain of a silent request. If `query_report` is set, or if a later replica of the
@@ -93,6 +96,13 @@
     let fault_key = fault.and_then(|address| gateway.state().upstreams.by_address(address));
     if let Some(key) = fault_key {
         attempt.note_crash(context, key);
+        let quarantine_ms = gateway
+            .state()
+            .crashes
+            .quarantine_ms(now, context.fingerprint);
+        if quarantine_ms.is_some() {
+            return AttemptHealth::Quarantined;
+        }
     }
     let avoid = {
         let mut state = gateway.state();
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -93,7 +93,12 @@
     key: UpstreamKey,
     status: u16,
 ) {
-    let took_ms = gateway.clock.now().since(context.received_at);
+    let now = gateway.clock.now();
+    let took_ms = now.since(context.received_at);
+    gateway
+        .state()
+        .crashes
+        .record_completion(now, context.fingerprint);
     let result = if status < 400 {
         "answered"
     } else {
@@ -119,6 +124,8 @@
 fn refusal_status(refusal: &RequestRefusal) -> u16 {
     let status = refusal.reason.status();
     match refusal.verdict {
+        // It promises that the request did not run, which the status of the reason does not.
+        RunVerdict::NotRun if refusal.reason == RefusalReason::Quarantined => 503,
         RunVerdict::NotRun if status >= 500 => 503,
         RunVerdict::NotRun => status,
         _ if status == 504 => 504,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use crate::gateway::budget::{BudgetRule, RetryBudget};
 use crate::gateway::catalog::{pick_target, RouteError, RouteTable, ServingConfig, WorkKind};
 use crate::gateway::chain::{choose_chain, ChainHop, ChainQuery};
+use crate::gateway::crash_ledger::CrashLedger;
 use crate::gateway::freshness::FreshnessProof;
 use crate::gateway::peer::{LinkKey, PeerTable};
 use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamTable};
@@ -143,6 +144,8 @@
     withheld_proof: Option<(u64, u64)>,
     /// Load that other gateways report, and this gateway's use of links.
     pub peers: PeerTable,
+    /// Replicas that crashed under requests, here and at the peers.
+    pub crashes: CrashLedger,
     /// Addresses at which other gateways receive peer messages.
     pub peer_addresses: Vec<SocketAddr>,
     /// Whether the addresses were read from the store since the start.
@@ -161,6 +164,7 @@
             routes: RouteTable::default(),
             upstreams: UpstreamTable::default(),
             peers: PeerTable::default(),
+            crashes: CrashLedger::default(),
             peer_addresses: Vec::new(),
             peers_read: false,
             proof: FreshnessProof::new(setup.revoke_ms),
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -138,7 +138,7 @@
     };
     // Opening the connection may have taken long, and the VM may have been suspended meanwhile.
     let now = gateway.clock.now();
-    if !gateway.state().may_still_send(now, &context.admitted) {
+    if !may_still_send(gateway, context, now) {
         return Err(failed(AttemptFailure::NotSent));
     }
     let request = build_request(context, &attempt.target, now, last_event_id);
@@ -275,6 +275,13 @@
     );
 }
 
+/// Whether a request may still be sent to a target that was chosen for it before.
+fn may_still_send(gateway: &Gateway, context: &RequestContext, now: ClockTime) -> bool {
+    let state = gateway.state();
+    let quarantine_ms = state.crashes.quarantine_ms(now, context.fingerprint);
+    quarantine_ms.is_none() && state.may_still_send(now, &context.admitted)
+}
+
 fn build_request(
     context: &RequestContext,
     target: &SendTarget,
@@ -320,7 +327,7 @@
         let query_report = silent_ms % HEAD_REPORT_INTERVAL_MS < SILENCE_CHECK_MS;
         // A request that may not be retried is not ended for silence alone.
         let health = check_silent_request(gateway, context, attempt, query_report, may_retry).await;
-        if health != AttemptHealth::Alive && may_retry {
+        if health == AttemptHealth::Quarantined || (health != AttemptHealth::Alive && may_retry) {
             return None;
         }
     }
--- a/src/wire/gen.rs
+++ b/src/wire/gen.rs
@@ -453,6 +453,30 @@
     /// Version of the configuration that the gateway has in force; zero if it has none.
     #[prost(uint64, tag = "3")]
     pub config_version: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub crashes: ::prost::alloc::vec::Vec<RequestCrashes>,
+}
+/// Replicas that crashed while they ran one request, which its caller may send again to any gateway.
+/// Without any, the request has completed since.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RequestCrashes {
+    /// Hash of 16 bytes that identifies the request.
+    #[prost(bytes = "vec", tag = "1")]
+    pub fingerprint: ::prost::alloc::vec::Vec<u8>,
+    #[prost(message, repeated, tag = "2")]
+    pub crashes: ::prost::alloc::vec::Vec<ReplicaCrash>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReplicaCrash {
+    /// Address on which the replica listened, "ip:port".
+    #[prost(string, tag = "1")]
+    pub address: ::prost::alloc::string::String,
+    /// Time since the crash, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub ago_ms: u32,
+    /// Random number that the gateway gave the crash when it observed it.
+    #[prost(fixed64, tag = "3")]
+    pub observation: u64,
 }
 /// Number of requests of a gateway whose chains use the link between two failure domains.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -4,7 +4,7 @@
 //! All replicas of a site share one table, so that the first replica of a chain can look up the
 //! state of the others without sending them requests.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -17,13 +17,22 @@
 use serde_json::{json, Value};
 use tokio::net::TcpListener;
 
-use crate::server::{json_response, read_body, serve_on, text_response, ServerResponse};
+use crate::server::{
+    json_response, no_response, read_body, serve_on, text_response, ServerResponse,
+};
 
 /// Interval between two events of a stream, in milliseconds.
 pub const EVENT_INTERVAL_MS: u64 = 10;
 /// Time that a plain service takes for a request, in milliseconds.
 const SERVICE_TIME_MS: u64 = 20;
 
+/// Time after which a replica that a request crashed is back in a new incarnation, in milliseconds.
+const CRASH_DOWN_MS: u64 = 1_500;
+/// Body of a request that crashes the replica that runs it, the first of its chain.
+pub const CRASHES_FIRST: &str = "crashes the first replica";
+/// Body of a stream that crashes the last replica of its chain, also of one to which it is moved.
+pub const CRASHES_LAST: &str = "crashes the last replica";
+
 /// Fault of a plain service, switched at run time with [`ReplicaTable::change`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ReplicaFault {
@@ -55,6 +64,10 @@
     /// it are refused with 503, streams that have it as the first hop of their chain break off, and
     /// streams that have it as a later hop stall. Reports and orders are still answered.
     pub dead: bool,
+    /// Whether a request has crashed the replica and it is not back yet: it closes each connection
+    /// without an answer, and its registry entry is not updated. Streams over it that are not moved
+    /// to another chain by then break off when it is back.
+    pub crashed: bool,
     /// Fault in force, for a plain service.
     pub fault: ReplicaFault,
     /// Whether every answer says that the replica is leaving (`server-leaving`). The registry is
@@ -87,10 +100,18 @@
 struct TableData {
     replicas: HashMap<SocketAddr, ReplicaState>,
     runs: Vec<RunRecord>,
+    /// Number of the last stream started, by request id.
+    stream_numbers: HashMap<String, usize>,
     /// Chains of the streams in progress, by request id.
     chains: HashMap<String, Vec<SocketAddr>>,
     /// Dead replicas that stall a stream, by request id.
     stalled: HashMap<String, SocketAddr>,
+    /// Ids of the streams in progress that crash the last replica of their chain.
+    crashes_last: HashSet<String>,
+    /// Ids of the streams that ended with a replica that crashed.
+    cut_off: HashSet<String>,
+    /// Replicas that a request crashed, in order.
+    crashes: Vec<SocketAddr>,
 }
 
 /// All replicas of a site and the runs of requests by them. Clones share the data.
@@ -129,14 +150,27 @@
 }
 
 /// Removes a stream from the table when its response body is dropped: at its end, or when the
-/// caller disconnects.
-struct StreamGuard(ReplicaTable, String);
+/// caller disconnects. Has no effect once the same request has started another stream, the number of
+/// which is higher.
+struct StreamGuard(ReplicaTable, String, usize);
 
 impl Drop for StreamGuard {
     fn drop(&mut self) {
         let mut data = self.0.data();
+        if data.stream_numbers.get(&self.1) != Some(&self.2) {
+            return;
+        }
         data.chains.remove(&self.1);
         data.stalled.remove(&self.1);
+        data.crashes_last.remove(&self.1);
+        data.cut_off.remove(&self.1);
+    }
+}
+
+impl TableData {
+    fn is_dead(&self, address: SocketAddr) -> bool {
+        let state = self.replicas.get(&address);
+        state.is_none_or(|state| state.dead || state.crashed)
     }
 }
 
@@ -172,6 +206,29 @@
         self.data().runs.clone()
     }
 
+    /// Returns the replicas that a request crashed so far, in order.
+    pub fn crashes(&self) -> Vec<SocketAddr> {
+        self.data().crashes.clone()
+    }
+
+    /// Crashes a replica on account of a request. It is back after [`CRASH_DOWN_MS`].
+    fn crash(&self, address: SocketAddr) {
+        self.data().crashes.push(address);
+        self.change(address, |state| state.crashed = true);
+        let table = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(CRASH_DOWN_MS)).await;
+            table.change(address, |state| {
+                state.crashed = false;
+                state.incarnation += 1;
+            });
+            let data = &mut *table.data();
+            let over_it = data.chains.iter();
+            let over_it = over_it.filter(|(_, chain)| chain.contains(&address));
+            data.cut_off.extend(over_it.map(|(id, _)| id.clone()));
+        });
+    }
+
     /// Returns the current chain of a stream; empty before the stream starts and after it ends.
     pub fn chain(&self, request: &str) -> Vec<SocketAddr> {
         self.data().chains.get(request).cloned().unwrap_or_default()
@@ -191,9 +248,17 @@
     }
 
     async fn handle(self, address: SocketAddr, request: Request<Incoming>) -> ServerResponse {
-        let leaving = self.state(address).leaving;
+        let before = self.state(address);
+        if before.crashed {
+            return no_response();
+        }
+        let leaving = before.leaving;
         let request_id = request.headers().get("x-attempt-id").cloned();
-        let mut response = self.handle_request(address, request).await;
+        let mut response = self.clone().handle_request(address, request).await;
+        let after = self.state(address);
+        if after.crashed || after.incarnation != before.incarnation {
+            return no_response();
+        }
         // Refusals echo the id of the request as other responses do.
         if let Some(id) = request_id {
             let headers = response.headers_mut();
@@ -254,9 +319,7 @@
         if order["op"] == "repath" {
             let id = order["id"].as_str().unwrap_or("");
             let hops = parse_hops(order["path"].as_str().unwrap_or(""));
-            let dead = hops
-                .iter()
-                .find(|(hop, ..)| data.replicas.get(hop).is_none_or(|replica| replica.dead));
+            let dead = hops.iter().find(|(hop, ..)| data.is_dead(*hop));
             if let Some((hop, ..)) = dead {
                 return text_response(409, json!({"address": hop.to_string()}).to_string());
             }
@@ -264,6 +327,11 @@
                 return text_response(404, "");
             };
             *chain = hops.iter().map(|(hop, ..)| *hop).collect();
+            if data.crashes_last.contains(id) {
+                let last = hops.last().map(|(hop, ..)| *hop);
+                drop(data);
+                last.into_iter().for_each(|last| self.crash(last));
+            }
             return text_response(200, "");
         }
         let token = order["fencing_token"].as_u64().unwrap_or(0);
@@ -311,6 +379,9 @@
         }
         self.record_run(address, headers, body);
         tokio::time::sleep(Duration::from_millis(SERVICE_TIME_MS)).await;
+        if body == CRASHES_FIRST {
+            self.crash(address);
+        }
         let id = match state.fault {
             ReplicaFault::WrongRequestId => "another",
             _ => header_value(headers, "x-attempt-id"),
@@ -333,7 +404,7 @@
         let hops = parse_hops(header_value(headers, "x-hops"));
         for (hop, from, to) in &hops {
             let state = self.state(*hop);
-            if state.dead {
+            if state.dead || state.crashed {
                 return refusal(503, Some(*hop));
             }
             if state.layers.0 > *from || state.layers.1 < *to {
@@ -351,9 +422,24 @@
         let next: u64 = header_value(headers, "last-event-id")
             .parse()
             .map_or(1, |last: u64| last + 1);
-        let chain = hops.iter().map(|(hop, ..)| *hop).collect();
-        self.data().chains.insert(id.clone(), chain);
-        let start = (next, StreamGuard(self.clone(), id.clone()));
+        let chain: Vec<SocketAddr> = hops.iter().map(|(hop, ..)| *hop).collect();
+        match (&body[..], chain.first(), chain.last()) {
+            (body, Some(first), _) if body == CRASHES_FIRST.as_bytes() => self.crash(*first),
+            (body, _, Some(last)) if body == CRASHES_LAST.as_bytes() => {
+                self.data().crashes_last.insert(id.clone());
+                self.crash(*last);
+            }
+            _ => {}
+        }
+        let number = {
+            let mut data = self.data();
+            data.chains.insert(id.clone(), chain);
+            data.cut_off.remove(&id);
+            let number = data.runs.len();
+            data.stream_numbers.insert(id.clone(), number);
+            number
+        };
+        let start = (next, StreamGuard(self.clone(), id.clone(), number));
         let table = self.clone();
         let events = futures_util::stream::unfold(start, move |(next, guard)| {
             let table = table.clone();
@@ -378,12 +464,11 @@
         loop {
             tokio::time::sleep(Duration::from_millis(EVENT_INTERVAL_MS)).await;
             let mut data = self.data();
-            let is_dead = |hop: &SocketAddr| data.replicas.get(hop).is_none_or(|state| state.dead);
-            if is_dead(&first) {
+            if data.is_dead(first) || data.cut_off.contains(id) {
                 return false;
             }
             let chain = data.chains.get(id).cloned().unwrap_or_default();
-            match chain.into_iter().find(is_dead) {
+            match chain.into_iter().find(|hop| data.is_dead(*hop)) {
                 Some(hop) => {
                     data.stalled.insert(id.to_owned(), hop);
                 }
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -1,6 +1,5 @@
 //! HTTP/1 server for the stand-ins, on hyper, and helpers to build its responses.
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -22,6 +21,17 @@
 /// Response of a stand-in.
 pub type ServerResponse = Response<ServerBody>;
 
+/// Extension of a response that is not sent: the connection is closed instead.
+#[derive(Clone, Copy, Debug)]
+struct Unsent;
+
+/// Builds a response in place of which the connection is closed.
+pub fn no_response() -> ServerResponse {
+    let mut response = text_response(500, "");
+    response.extensions_mut().insert(Unsent);
+    response
+}
+
 /// Serves requests on `address` with `handler` until accepting a connection fails.
 ///
 /// # Errors
@@ -56,7 +66,13 @@
         tokio::spawn(async move {
             let service = service_fn(move |request| {
                 let response = handler(request);
-                async move { Ok::<_, Infallible>(response.await) }
+                async move {
+                    let response = response.await;
+                    match response.extensions().get() {
+                        Some(Unsent) => Err(io::Error::other("closed without a response")),
+                        None => Ok(response),
+                    }
+                }
             });
             // An error means that the connection broke, which the client notices itself.
             let _ = http1::Builder::new()
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -75,6 +75,8 @@
     pub api_key: &'static str,
     /// Number of events requested of a stream; zero for the plain service.
     pub event_count: u64,
+    /// Request body; a text that names the request if it is empty.
+    pub body: &'static str,
 }
 
 impl SiteRequest {
@@ -85,6 +87,7 @@
             path: "/model/x",
             api_key: API_KEY,
             event_count,
+            body: "",
         }
     }
 
@@ -96,6 +99,7 @@
             path: "/issue/x",
             api_key: API_KEY,
             event_count: 0,
+            body: "",
         }
     }
 
@@ -233,7 +237,7 @@
         tokio::spawn(async move {
             for heartbeat_number in 0_u64.. {
                 let state = replicas.state(address);
-                if !state.dead {
+                if !state.dead && !state.crashed {
                     let kind = if service == "model" { "card" } else { "" };
                     let entry = json!({
                         "service": service, "address": address.to_string(), "zone": domain,
@@ -402,6 +406,10 @@
     address: SocketAddr,
     request: &SiteRequest,
 ) -> eyre::Result<http::Response<Incoming>> {
+    let body = match request.body {
+        "" => format!("body of {}", request.id),
+        body => body.to_owned(),
+    };
     let http_request = Request::post(format!("http://{address}{}", request.path))
         .header("host", "site.example")
         .header("x-attempt-id", &request.id)
@@ -409,7 +417,7 @@
         .header("x-tenant", "forged")
         .header("x-deadline-ms", DEADLINE_MS.to_string())
         .header("x-token-count", format!("20,{}", request.event_count))
-        .body(Full::from(format!("body of {}", request.id)))?;
+        .body(Full::from(body))?;
     Ok(client.request(http_request).await?)
 }
 
--- /dev/null
+++ b/standins/tests/crashing.rs
@@ -0,0 +1,105 @@
+//! Requests that crash the replicas that run them, sent again and again to gateway processes.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use standins::replica::{CRASHES_FIRST, CRASHES_LAST};
+use standins::site::{SiteRequest, TestSite};
+
+/// Replicas that may crash under one request before no gateway sends it any more.
+const MAX_CRASHES: usize = 3;
+/// Time in which gateways tell each other of a crash.
+const NOTICE_TIME: Duration = Duration::from_millis(600);
+
+async fn start_site(name: &str, gateways: usize) -> TestSite {
+    let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    TestSite::start(logs, gateways)
+        .await
+        .expect("the site should start")
+}
+
+fn crashing(request: SiteRequest, body: &'static str) -> SiteRequest {
+    SiteRequest { body, ..request }
+}
+
+/// Sends the same request `rounds` times, to each gateway in turn. Returns the statuses; zero for a
+/// connection that ended without an answer.
+async fn send_rounds(site: &TestSite, rounds: usize, request: &SiteRequest) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for round in 0..rounds {
+        let request = SiteRequest {
+            id: format!("{}-{round}", request.id),
+            ..request.clone()
+        };
+        let answer = site.fetch(round % site.gateways.len(), &request).await;
+        let status = answer.map_or(0, |answer| answer.status);
+        if status == 503 {
+            assert_eq!(site.run_count(&request.id), 0, "{} has run", request.id);
+        }
+        statuses.push(status);
+        tokio::time::sleep(NOTICE_TIME).await;
+    }
+    statuses
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_crashes_replicas_is_not_sent_on_by_any_gateway() {
+    struct Case {
+        name: &'static str,
+        request: SiteRequest,
+    }
+    let cases = [
+        Case {
+            name: "crashing-lookup",
+            request: crashing(SiteRequest::lookup("p"), CRASHES_FIRST),
+        },
+        Case {
+            name: "crashing-issue",
+            request: crashing(SiteRequest::issue("p"), CRASHES_FIRST),
+        },
+        Case {
+            name: "crashing-first-of-chain",
+            request: crashing(SiteRequest::stream("p", 20), CRASHES_FIRST),
+        },
+        Case {
+            name: "crashing-last-of-chain",
+            request: crashing(SiteRequest::stream("p", 20), CRASHES_LAST),
+        },
+    ];
+    for case in cases {
+        let site = start_site(case.name, 3).await;
+        let statuses = send_rounds(&site, 10, &case.request).await;
+        let crashes = site.replicas.crashes();
+        assert!(
+            crashes.len() <= MAX_CRASHES,
+            "{}: {} replicas crashed, {statuses:?}",
+            case.name,
+            crashes.len()
+        );
+        assert_eq!(statuses[7..], [503; 3], "{}: {statuses:?}", case.name);
+        // The same request with another body is another one.
+        let sound = SiteRequest {
+            id: "sound".to_owned(),
+            body: "",
+            ..case.request
+        };
+        let answer = site.fetch(0, &sound).await;
+        assert_eq!(
+            answer.expect("the gateway should respond").status,
+            200,
+            "{}",
+            case.name
+        );
+    }
+}
+
+/// Without this, one stream of twenty seconds takes down a replica for each reroute.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_crashes_replicas_is_not_rerouted_until_its_deadline() {
+    let site = start_site("crashing-reroute", 1).await;
+    let request = crashing(SiteRequest::stream("p", 20), CRASHES_LAST);
+    let _ = site.fetch(0, &request).await;
+    let crashes: Vec<SocketAddr> = site.replicas.crashes();
+    assert!(crashes.len() <= MAX_CRASHES, "{crashes:?}");
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod catalog;
 mod chain;
 mod config;
+mod crash_ledger;
 mod event_stream;
 mod fixture;
 mod freshness;
--- a/tests/gateway/malformed.rs
+++ b/tests/gateway/malformed.rs
@@ -13,7 +13,7 @@
 use lynxcart::platform::serving_config::decode_config;
 use lynxcart::store::position::StorePosition;
 use lynxcart::store::PlatformItem;
-use lynxcart::wire::gen::{GatewayLoad, PipeLoad, UpstreamLoad};
+use lynxcart::wire::gen::{GatewayLoad, PipeLoad, ReplicaCrash, RequestCrashes, UpstreamLoad};
 use proptest::prelude::{any, prop, prop_assert, prop_oneof, proptest, Just, Strategy};
 use serde_json::{json, Value};
 
@@ -190,7 +190,10 @@
         load in (any::<u64>(), any::<u32>(), any::<u64>(), any::<u32>(), any::<u32>()),
         version in any::<u64>(),
         in_flight in any::<u32>(),
+        fingerprint in prop::collection::vec(any::<u8>(), 0..20),
+        (address, ago_ms, observation) in (".*", any::<u32>(), any::<u64>()),
     ) {
+        let crash = ReplicaCrash { address, ago_ms, observation };
         let mut state = state(&[1], 1_000);
         state.upstreams.apply_entry(NOW, entry(1, "x", "a", "v100", LayerRange { from: 0, to: 8 }));
         let (born, running, reserved, named_ago, pace_milli) = load;
@@ -208,9 +211,16 @@
             loads: vec![upstream_load; 3],
             pipes: vec![link; 3],
             config_version: version,
+            crashes: vec![RequestCrashes {
+                fingerprint: fingerprint.clone(),
+                crashes: vec![crash.clone(), crash],
+            }],
         };
         for peer in ["one", "other"] {
             state.apply_peer_version(message.config_version);
+            for report in &message.crashes {
+                state.crashes.apply_report(NOW, report);
+            }
             let table = &state.upstreams;
             for report in state.peers.apply_report(NOW, peer, &message, table) {
                 let _ = format!("{report:?}");
@@ -218,5 +228,6 @@
         }
         state.peers.load_messages(NOW, &state.upstreams);
         state.domain_summaries(NOW);
+        prop_assert!(state.crashes.take_reports(NOW).len() <= 64);
     }
 }
