Bar a leaving upstream also after its registry entry lapsed and returned

What callers saw: requests reached a replica after it had said that it leaves, when its entry in the registry had been missing in between, as after an outage or a restore of the store.

Class: a fact about an incarnation kept with the lifetime of a cache entry.

Change: a record made for an incarnation that is known already takes over that it is leaving or draining. One with an unknown start does not, since it may be a new one.

--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -312,6 +312,8 @@
     /// Applies a registry entry. Returns whether an upstream, its layers, its address or its
     /// availability changed.
     pub fn apply_entry(&mut self, now: ClockTime, entry: UpstreamEntry) -> bool {
+        let mut said_leaving = false;
+        let mut draining = entry.draining;
         if let Some(key) = self.ids.get(&entry.id).copied() {
             let record = &mut self.records[key.0 as usize];
             if entry.position < record.entry.position {
@@ -341,19 +343,25 @@
                 return changed;
             }
             record.gone = true;
+            // The entry of an upstream that still runs may lapse and return. It is leaving all the
+            // same. Zero is an unknown start, which shows nothing.
+            if record.entry.born == entry.born && entry.born != 0 {
+                said_leaving = record.said_leaving;
+                draining |= record.entry.draining;
+            }
         }
         let key = UpstreamKey(u32::try_from(self.records.len()).unwrap_or(u32::MAX));
         self.ids.insert(entry.id.clone(), key);
         self.addresses.insert(entry.address, key);
         self.records.push(UpstreamRecord {
-            entry,
+            entry: UpstreamEntry { draining, ..entry },
             gone: false,
             gone_at: None,
             suspect_until: now,
             paused_until: now,
             last_refusal: ClockTime::default(),
             refusals: 0,
-            said_leaving: false,
+            said_leaving,
             rest_until: now,
             death_report: None,
             unanswered_since: None,
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -1,7 +1,7 @@
 //! Tests of how a gateway applies registry entries and records failures.
 
 use lynxcart::clock::ClockTime;
-use lynxcart::gateway::upstream::{LayerRange, UpstreamEntry, UpstreamTable};
+use lynxcart::gateway::upstream::{LayerRange, UpstreamEntry, UpstreamKey, UpstreamTable};
 
 use lynxcart::store::position::StorePosition;
 
@@ -347,3 +347,54 @@
     table.remove_entry(NOW, "x", at(4), false);
     assert_eq!(table.by_address(address), None);
 }
+
+#[test]
+fn upstream_that_said_that_it_is_leaving_stays_barred_when_its_entry_lapses_and_returns() {
+    struct Case {
+        name: &'static str,
+        said_by: fn(&mut UpstreamTable, UpstreamKey),
+        /// `born` of the entry that returns.
+        born: u64,
+        registered: bool,
+    }
+    let cases = [
+        Case {
+            name: "said to this gateway",
+            said_by: |table, key| assert!(table.mark_leaving(key)),
+            born: 7,
+            registered: false,
+        },
+        Case {
+            name: "said to a peer",
+            said_by: |table, key| assert!(table.mark_draining(key)),
+            born: 7,
+            registered: false,
+        },
+        Case {
+            name: "started again",
+            said_by: |table, key| assert!(table.mark_leaving(key)),
+            born: 8,
+            registered: true,
+        },
+    ];
+    for case in cases {
+        for store_was_down in [false, true] {
+            let entry = |position, born| UpstreamEntry {
+                born,
+                ..plain_entry("x", position)
+            };
+            let mut table = UpstreamTable::default();
+            table.apply_entry(NOW, entry(1, 7));
+            let address = "10.0.0.2:80".parse().unwrap();
+            let key = table.by_address(address).unwrap();
+            (case.said_by)(&mut table, key);
+            table.remove_entry(NOW, "x", at(2), store_was_down);
+            let later = NOW + 5_000;
+            table.expire_missing(later);
+            table.apply_entry(later, entry(3, case.born));
+            let returned = table.by_address(address).unwrap();
+            let record = table.get(returned);
+            assert_eq!(record.registered(), case.registered, "{}", case.name);
+        }
+    }
+}
