Do not blame a request for replicas that failed together

Ruled out: a sign of life of the replica between placement and crash; a request that crashes replicas at once leaves no time for one.

--- a/src/gateway/crash_ledger.rs
+++ b/src/gateway/crash_ledger.rs
@@ -23,6 +23,9 @@
 /// Crashes of one replica that gateways observe less than this apart are the same, milliseconds. A
 /// replica takes longer to start again.
 const SAME_CRASH_MS: u64 = 1_000;
+/// Crashes under one request that follow each other within this time are taken for one failure of
+/// several replicas, milliseconds.
+const SUCCESSION_MS: u64 = 1_000;
 /// Number of times that each change is reported to the peers, since datagrams get lost.
 const REPORT_REPEATS: u32 = 3;
 /// Upper bound of the changes in one call of [`CrashLedger::take_reports`].
@@ -33,6 +36,23 @@
 /// of which complete in their next attempt.
 const MAX_HISTORIES: usize = 8_192;
 
+/// Crashes under one request as its caller sent it, over all its attempts and reroutes. A request that
+/// meets a failure of several replicas at once loses attempts at them one after the other, so that
+/// crashes in quick succession count once, unless the same request met crashes before it was resent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CrashSeries {
+    crashes: usize,
+    counted: usize,
+    counted_at: ClockTime,
+}
+
+impl CrashSeries {
+    /// Whether the request has to be given up, whatever is known of others that are the same.
+    pub fn is_exhausted(&self) -> bool {
+        self.crashes >= MAX_CRASHES
+    }
+}
+
 /// A crash, in the time of this gateway's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Crash {
@@ -100,15 +120,21 @@
 
 impl CrashLedger {
     /// Records that a replica crashed while it ran a request of this gateway. `observation` is a
-    /// random number. Returns the number of crashes if this one was not known.
+    /// random number. Returns the number of crashes counted so far if this one counts.
     pub fn record_crash(
         &mut self,
         now: ClockTime,
         fingerprint: RequestFingerprint,
+        series: &mut CrashSeries,
         replica: SocketAddr,
         observation: u64,
     ) -> Option<usize> {
+        series.crashes += 1;
         let history = self.history(now, fingerprint)?;
+        let is_first = history.crashes.len() <= series.counted;
+        if is_first && series.counted > 0 && now.since(series.counted_at) < SUCCESSION_MS {
+            return None;
+        }
         let crash = Crash {
             replica,
             at: now,
@@ -117,6 +143,8 @@
         if !history.add(crash) {
             return None;
         }
+        series.counted += 1;
+        series.counted_at = now;
         history.reports_left = REPORT_REPEATS;
         Some(history.crashes.len())
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -3,7 +3,7 @@
 //!
 //! [`GatewayState`]: crate::gateway::state::GatewayState
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,10 +17,11 @@
 use crate::fingerprint::RequestFingerprint;
 use crate::gateway::attempt_ledger::{AttemptFailure, AttemptLedger, NextStep};
 use crate::gateway::catalog::WorkKind;
+use crate::gateway::crash_ledger::CrashSeries;
 use crate::gateway::relay;
 use crate::gateway::response::{collect_response, record_response, refuse, GatewayBody};
 use crate::gateway::run::Gateway;
-use crate::gateway::state::{AdmittedRequest, RequestHead, SendTarget};
+use crate::gateway::state::{AdmittedRequest, GatewayState, RequestHead, SendTarget};
 use crate::gateway::upstream::UpstreamKey;
 use crate::gateway::upstream_attempt::{send_request, FailedAttempt, OpenResponse};
 use crate::platform::headers::{request_meta, RequestMeta};
@@ -54,11 +55,28 @@
     pub admitted: AdmittedRequest,
     /// Identifies the request when its caller sends it again.
     pub fingerprint: RequestFingerprint,
+    /// Replicas that crashed while they ran the request.
+    crash_series: Mutex<CrashSeries>,
     /// When the request line and headers were received.
     pub received_at: ClockTime,
     _in_flight: InFlightGuard,
 }
 
+impl RequestContext {
+    /// Locks the record of crashes under the request.
+    pub(super) fn crash_series(&self) -> MutexGuard<'_, CrashSeries> {
+        let series = self.crash_series.lock();
+        series.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the request must not be sent to any replica, since several crashed under it or under
+    /// one that is the same.
+    pub(super) fn is_barred(&self, now: ClockTime, state: &GatewayState) -> bool {
+        let quarantine_ms = state.crashes.quarantine_ms(now, self.fingerprint);
+        quarantine_ms.is_some() || self.crash_series().is_exhausted()
+    }
+}
+
 #[derive(Debug)]
 struct InFlightGuard(Arc<Gateway>);
 
@@ -123,6 +141,7 @@
     };
     let context = RequestContext {
         fingerprint: fingerprint(&admitted, &parts, &body),
+        crash_series: Mutex::default(),
         parts,
         body,
         meta,
@@ -285,11 +304,11 @@
             if now >= admitted.deadline {
                 let detail = "the deadline passed before the request could be sent";
                 RequestRefusal::not_run(RefusalReason::Deadline, detail)
-            } else if let Some(remaining_ms) = state.crashes.quarantine_ms(now, context.fingerprint)
-            {
+            } else if context.is_barred(now, &state) {
+                let remaining_ms = state.crashes.quarantine_ms(now, context.fingerprint);
                 let detail = "replicas crashed while they ran this request";
                 RequestRefusal::not_run(RefusalReason::Quarantined, detail)
-                    .retry_after(remaining_ms)
+                    .retry_after(remaining_ms.unwrap_or(FAILED_RETRY_AFTER_MS))
             } else if !state.may_still_send(now, admitted) {
                 RequestRefusal::not_run(
                     RefusalReason::PlatformOutage,
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -24,9 +24,13 @@
     let mut state = gateway.state();
     let entry = &state.upstreams.get(key).entry;
     let (id, replica) = (entry.id.clone(), entry.address);
-    let added = state
-        .crashes
-        .record_crash(now, context.fingerprint, replica, rand::random());
+    let added = state.crashes.record_crash(
+        now,
+        context.fingerprint,
+        &mut context.crash_series(),
+        replica,
+        rand::random(),
+    );
     drop(state);
     spdlog::info!(
         "event=crash_under_request request={} fingerprint={} upstream={id} crashes={added:?}",
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -96,11 +96,7 @@
     let fault_key = fault.and_then(|address| gateway.state().upstreams.by_address(address));
     if let Some(key) = fault_key {
         attempt.note_crash(context, key);
-        let quarantine_ms = gateway
-            .state()
-            .crashes
-            .quarantine_ms(now, context.fingerprint);
-        if quarantine_ms.is_some() {
+        if context.is_barred(now, &gateway.state()) {
             return AttemptHealth::Quarantined;
         }
     }
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -278,8 +278,7 @@
 /// Whether a request may still be sent to a target that was chosen for it before.
 fn may_still_send(gateway: &Gateway, context: &RequestContext, now: ClockTime) -> bool {
     let state = gateway.state();
-    let quarantine_ms = state.crashes.quarantine_ms(now, context.fingerprint);
-    quarantine_ms.is_none() && state.may_still_send(now, &context.admitted)
+    !context.is_barred(now, &state) && state.may_still_send(now, &context.admitted)
 }
 
 fn build_request(
