Keep in the store what a gateway that starts must not forget

What callers saw: after a restart of a gateway, requests reached a replica that had said to it that it leaves; after a restart of all gateways, a request that was refused everywhere crashed replicas again.

Cause: both facts lived in the memory of processes. Peers are told of a leaving replica by the one that heard it alone, so that its own restart loses it, and a registry that is not told (the replica says it in answers only) lists it as ready. Class: as before, a fact that has to outlast its holder kept with the holder.

Ruled out: waiting for peers at the start; after a kill of all there are none.

Change: the gateway that observes one of the two writes a notice to the store, under a lease of ten minutes that is not renewed; a gateway reads all notices before it reads the registry, so that no replica is known before what bars it. After a restore from a copy that lacks them, those that observed them write them again. Two calls for each notice, one read for each full read of the registry.

Not proved: a gateway that is killed in the milliseconds between hearing and writing.

--- a/src/fingerprint.rs
+++ b/src/fingerprint.rs
@@ -1,10 +1,13 @@
 //! Identifies a request that its caller sends again, at whichever process it arrives.
 
 use std::fmt;
+use std::str::FromStr;
+
+use eyre::{ensure, eyre};
 
 /// A hash of what makes two requests the same: for an entry, the team, model and prompt; for a
 /// gateway, the team, method, path with query, and body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestFingerprint(pub [u8; 16]);
 
 impl RequestFingerprint {
@@ -21,6 +24,18 @@
     }
 }
 
+impl FromStr for RequestFingerprint {
+    type Err = eyre::Report;
+
+    /// Parses the form that [`fmt::Display`] writes: 32 hexadecimal digits.
+    fn from_str(text: &str) -> eyre::Result<RequestFingerprint> {
+        let is_hex = text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        ensure!(is_hex, "\"{text}\" does not have 32 hexadecimal digits");
+        let number = u128::from_str_radix(text, 16).map_err(|error| eyre!(error))?;
+        Ok(RequestFingerprint(number.to_be_bytes()))
+    }
+}
+
 impl fmt::Display for RequestFingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", u128::from_be_bytes(self.0))
--- a/src/gateway/crash_ledger.rs
+++ b/src/gateway/crash_ledger.rs
@@ -65,16 +65,19 @@
 /// What is known of one request.
 #[derive(Clone, Debug, Default)]
 struct CrashHistory {
-    /// Crashes since the last completion, at most [`MAX_CRASHES`]; empty for a request that
-    /// completed.
+    /// Crashes since the last completion, at most [`MAX_CRASHES`].
     crashes: Vec<Crash>,
+    /// Whether the request is refused. Its crashes may be unknown here.
+    quarantined: bool,
+    /// Whether this gateway observed any of the crashes itself.
+    observed_here: bool,
     expires_at: ClockTime,
     reports_left: u32,
 }
 
 impl CrashHistory {
-    fn is_quarantined(&self) -> bool {
-        self.crashes.len() >= MAX_CRASHES
+    fn completed(&self) -> bool {
+        self.crashes.is_empty() && !self.quarantined
     }
 
     /// Adds a crash unless it is known. Returns whether it was added.
@@ -84,11 +87,12 @@
             known.observation == crash.observation
                 || known.replica == crash.replica && apart < SAME_CRASH_MS
         };
-        if self.is_quarantined() || self.crashes.iter().any(is_same) {
+        if self.quarantined || self.crashes.iter().any(is_same) {
             return false;
         }
         self.crashes.push(crash);
-        let retention_ms = match self.is_quarantined() {
+        self.quarantined = self.crashes.len() >= MAX_CRASHES;
+        let retention_ms = match self.quarantined {
             true => QUARANTINE_MS,
             false => SUSPECT_RETENTION_MS,
         };
@@ -105,6 +109,10 @@
         RequestCrashes {
             fingerprint: fingerprint.0.to_vec(),
             crashes: crashes.collect(),
+            quarantine_ms: match self.quarantined {
+                true => u32::try_from(self.expires_at.since(now)).unwrap_or(u32::MAX),
+                false => 0,
+            },
         }
     }
 }
@@ -146,17 +154,18 @@
         series.counted += 1;
         series.counted_at = now;
         history.reports_left = REPORT_REPEATS;
+        history.observed_here = true;
         Some(history.crashes.len())
     }
 
     /// Records that a request completed, so that it did not cause the crashes known so far.
     pub fn record_completion(&mut self, now: ClockTime, fingerprint: RequestFingerprint) {
         if let Some(history) = self.histories.get_mut(&fingerprint) {
-            if !history.crashes.is_empty() {
+            if !history.completed() {
                 *history = CrashHistory {
-                    crashes: Vec::new(),
                     expires_at: now + COMPLETION_RETENTION_MS,
                     reports_left: REPORT_REPEATS,
+                    ..CrashHistory::default()
                 };
             }
         }
@@ -165,10 +174,34 @@
     /// Remaining time for which a request is refused, milliseconds; `None` if it may be sent.
     pub fn quarantine_ms(&self, now: ClockTime, fingerprint: RequestFingerprint) -> Option<u64> {
         let history = self.histories.get(&fingerprint)?;
-        let is_in_force = history.is_quarantined() && now < history.expires_at;
+        let is_in_force = history.quarantined && now < history.expires_at;
         is_in_force.then(|| history.expires_at.since(now))
     }
 
+    /// Quarantines a request that was quarantined by another gateway, or before a restart, for
+    /// `remaining_ms` milliseconds. Returns whether it was not quarantined before.
+    pub fn quarantine(
+        &mut self,
+        now: ClockTime,
+        fingerprint: RequestFingerprint,
+        remaining_ms: u64,
+    ) -> bool {
+        let Some(history) = self.history(now, fingerprint) else {
+            return false;
+        };
+        history.expires_at = history
+            .expires_at
+            .max(now + remaining_ms.min(QUARANTINE_MS));
+        !std::mem::replace(&mut history.quarantined, true)
+    }
+
+    /// The quarantined requests for which this gateway observed a crash itself.
+    pub fn quarantined_here(&self) -> impl Iterator<Item = RequestFingerprint> + '_ {
+        let histories = self.histories.iter();
+        let here = histories.filter(|(_, history)| history.quarantined && history.observed_here);
+        here.map(|(fingerprint, _)| *fingerprint)
+    }
+
     /// Merges a peer's report. Returns the request if it is quarantined because of this report.
     pub fn apply_report(
         &mut self,
@@ -177,7 +210,7 @@
     ) -> Option<RequestFingerprint> {
         let hash = <[u8; 16]>::try_from(&report.fingerprint[..]).ok()?;
         let fingerprint = RequestFingerprint(hash);
-        if report.crashes.is_empty() {
+        if report.crashes.is_empty() && report.quarantine_ms == 0 {
             let history = self.histories.get_mut(&fingerprint)?;
             *history = CrashHistory {
                 expires_at: now + COMPLETION_RETENTION_MS,
@@ -186,8 +219,7 @@
             return None;
         }
         let history = self.history(now, fingerprint)?;
-        let completed = history.crashes.is_empty() && now < history.expires_at;
-        if completed || history.is_quarantined() {
+        if history.quarantined || (history.completed() && now < history.expires_at) {
             return None;
         }
         for crash in &report.crashes {
@@ -202,7 +234,10 @@
                 });
             }
         }
-        history.is_quarantined().then_some(fingerprint)
+        let is_new = history.quarantined
+            || report.quarantine_ms > 0
+                && self.quarantine(now, fingerprint, report.quarantine_ms.into());
+        is_new.then_some(fingerprint)
     }
 
     /// Returns the changes to report to the peers now, those of requests with most crashes first,
@@ -213,7 +248,7 @@
         for _ in 0..QUARANTINES_REPEATED {
             let after = self.repeated.map_or(Bound::Unbounded, Bound::Excluded);
             let mut later = self.histories.range((after, Bound::Unbounded));
-            let next = later.find(|(_, history)| history.is_quarantined());
+            let next = later.find(|(_, history)| history.quarantined);
             self.repeated = next.map(|(fingerprint, _)| *fingerprint);
             let Some((fingerprint, history)) = next else {
                 break;
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -1,18 +1,83 @@
-//! What this gateway learns of replicas while it serves requests, for itself and its peers.
+//! What this gateway learns of replicas while it serves requests. Peers are told, and what no process
+//! may forget is kept in the store, from which gateways that start read it.
 
-use crate::gateway::crash_ledger::MAX_CRASHES;
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+use crate::fingerprint::RequestFingerprint;
+use crate::gateway::crash_ledger::{MAX_CRASHES, QUARANTINE_MS};
 use crate::gateway::forward::RequestContext;
 use crate::gateway::run::Gateway;
+use crate::gateway::sync::StoreStatus;
 use crate::gateway::upstream::UpstreamKey;
+use crate::platform::kv::KvStore;
+use crate::platform::notice::{decode_notice, encode_notice};
+use crate::platform::NOTICE_PREFIX;
+use crate::store::{prefix_end, PlatformRequest, PlatformResponse, PlatformWrite};
+
+/// Time to live of the lease under which notices are written, seconds. It is not renewed, so that
+/// the store drops notices by itself.
+const NOTICE_LEASE_S: i64 = 600;
+/// Upper bound of the notices in one write.
+const MAX_NOTICES_PER_WRITE: usize = 32;
+/// Upper bound of the notices that wait for the store; later ones are told to the peers only.
+const MAX_UNWRITTEN: usize = 1_024;
+
+/// A notice that is kept in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum KeptNotice {
+    /// An incarnation of an upstream is leaving and must get no new requests.
+    Leaving {
+        /// Id of the upstream.
+        id: String,
+        /// Start of its incarnation, Unix milliseconds.
+        born: u64,
+    },
+    /// Replicas crashed under a request, and it is refused.
+    Quarantine(RequestFingerprint),
+}
+
+/// Notices of this gateway that are not in the store yet.
+#[derive(Clone, Debug, Default)]
+pub struct NoticeQueue {
+    unwritten: Vec<KeptNotice>,
+}
+
+impl NoticeQueue {
+    /// Adds a notice, unless it waits already or the queue is full.
+    pub fn add(&mut self, notice: KeptNotice) {
+        if self.unwritten.len() >= MAX_UNWRITTEN {
+            spdlog::warn!("event=notice_not_kept notice={notice:?} reason=full");
+        } else if !self.unwritten.contains(&notice) {
+            self.unwritten.push(notice);
+        }
+    }
+
+    /// The notices of the next write, oldest first.
+    pub fn next_write(&self) -> &[KeptNotice] {
+        &self.unwritten[..self.unwritten.len().min(MAX_NOTICES_PER_WRITE)]
+    }
+
+    /// Removes notices that were written.
+    pub fn remove(&mut self, written: &[KeptNotice]) {
+        self.unwritten.retain(|notice| !written.contains(notice));
+    }
+}
 
 /// Records that a replica says that it is leaving: it gets no new requests from this gateway, and
 /// the peers are told.
 pub fn note_leaving(gateway: &Gateway, key: UpstreamKey) {
     let mut state = gateway.state();
     if state.upstreams.mark_leaving(key) {
-        let id = state.upstreams.get(key).entry.id.clone();
+        let entry = &state.upstreams.get(key).entry;
+        let (id, born) = (entry.id.clone(), entry.born);
+        state.notices.add(KeptNotice::Leaving {
+            id: id.clone(),
+            born,
+        });
         drop(state);
         gateway.peer_update.notify_one();
+        gateway.notice_update.notify_one();
         spdlog::info!("event=upstream_leaving id={id}");
     }
 }
@@ -44,5 +109,119 @@
             context.fingerprint
         );
         gateway.peer_update.notify_one();
+        keep_quarantine(gateway, context.fingerprint);
+    }
+}
+
+/// Has the store keep that a request is refused.
+pub(super) fn keep_quarantine(gateway: &Gateway, fingerprint: RequestFingerprint) {
+    let notice = KeptNotice::Quarantine(fingerprint);
+    gateway.state().notices.add(notice);
+    gateway.notice_update.notify_one();
+}
+
+/// Writes this gateway's notices to the store as they arise.
+pub(super) async fn write_notices(gateway: Arc<Gateway>, store: KvStore) {
+    let mut status = StoreStatus::new("notices");
+    loop {
+        let notices = gateway.state().notices.next_write().to_vec();
+        if notices.is_empty() {
+            gateway.notice_update.notified().await;
+            continue;
+        }
+        match write(&store, &notices).await {
+            Ok(()) => {
+                status.recover();
+                gateway.state().notices.remove(&notices);
+            }
+            Err(error) => status.back_off(gateway.clock.now(), &error).await,
+        }
+    }
+}
+
+async fn write(store: &KvStore, notices: &[KeptNotice]) -> Result<(), String> {
+    let ttl_s = NOTICE_LEASE_S;
+    let lease = match store.request(PlatformRequest::LeaseGrant { ttl_s }).await {
+        Ok((PlatformResponse::Lease { lease, .. }, _)) if lease > 0 => lease,
+        other => return Err(format!("could not get a lease: {other:?}")),
+    };
+    let items = notices.iter().map(encode_notice);
+    let writes = items.map(|(key, value)| PlatformWrite::Put { key, value, lease });
+    let request = PlatformRequest::Txn {
+        compares: Vec::new(),
+        writes: writes.collect(),
+        reads: Vec::new(),
+    };
+    match store.request(request).await {
+        Ok((
+            PlatformResponse::Txn {
+                succeeded: true, ..
+            },
+            _,
+        )) => Ok(()),
+        other => Err(format!(
+            "could not write {} notices: {other:?}",
+            notices.len()
+        )),
+    }
+}
+
+/// Applies the notices in the store, and writes those of this gateway again that it lacks, as after
+/// a restore from an older copy.
+///
+/// # Errors
+///
+/// If the notices cannot be read.
+pub(super) async fn read_notices(gateway: &Gateway, store: &KvStore) -> Result<(), String> {
+    let request = PlatformRequest::Range {
+        key: NOTICE_PREFIX.to_owned(),
+        range_end: prefix_end(NOTICE_PREFIX),
+    };
+    let items = match store.request(request).await {
+        Ok((PlatformResponse::Range { items, .. }, _)) => items,
+        Ok(other) => return Err(format!("unexpected response: {other:?}")),
+        Err(error) => return Err(error.0),
+    };
+    let now = gateway.clock.now();
+    let state = &mut *gateway.state();
+    let mut stored = HashSet::new();
+    let mut leaving = HashMap::new();
+    for item in &items {
+        let notice = match decode_notice(item) {
+            Ok(notice) => notice,
+            Err(error) => {
+                spdlog::warn!(
+                    "event=notice_decode_failed key={} error=\"{error:#}\"",
+                    item.key
+                );
+                continue;
+            }
+        };
+        match &notice {
+            KeptNotice::Leaving { id, born } => {
+                leaving.insert(id.clone(), *born);
+            }
+            KeptNotice::Quarantine(fingerprint) => {
+                if state.crashes.quarantine(now, *fingerprint, QUARANTINE_MS) {
+                    spdlog::warn!("event=request_quarantined fingerprint={fingerprint} peer=store");
+                }
+            }
+        }
+        stored.insert(notice);
+    }
+    state.upstreams.bar_incarnations(leaving);
+    let leaving = state.upstreams.iter();
+    let leaving = leaving.filter(|(_, record)| record.said_leaving);
+    let leaving = leaving.map(|(_, record)| KeptNotice::Leaving {
+        id: record.entry.id.clone(),
+        born: record.entry.born,
+    });
+    let quarantined = state.crashes.quarantined_here();
+    for notice in leaving.chain(quarantined.map(KeptNotice::Quarantine)) {
+        if !stored.contains(&notice) {
+            state.notices.add(notice);
+        }
     }
+    gateway.notice_update.notify_one();
+    Ok(())
 }
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -9,6 +9,7 @@
 use tokio::net::UdpSocket;
 
 use crate::clock::ClockTime;
+use crate::gateway::notice::KeptNotice;
 use crate::gateway::peer::{PeerReport, LOAD_INTERVAL_MS};
 use crate::gateway::run::Gateway;
 use crate::gateway::task::spawn_lasting;
@@ -154,6 +155,15 @@
     for report in &load.crashes {
         if let Some(fingerprint) = state.crashes.apply_report(now, report) {
             spdlog::warn!("event=request_quarantined fingerprint={fingerprint} peer={from}");
+            // No gateway may have seen the last crash after it had heard of the others.
+            if state
+                .crashes
+                .quarantined_here()
+                .any(|here| here == fingerprint)
+            {
+                state.notices.add(KeptNotice::Quarantine(fingerprint));
+                gateway.notice_update.notify_one();
+            }
         }
     }
     if state.apply_peer_version(load.config_version) {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -76,6 +76,8 @@
     pub metrics: MetricSet,
     /// Notified to send load messages to the peers at once, without waiting for the next interval.
     pub peer_update: Notify,
+    /// Notified when there is a notice to write to the store.
+    pub notice_update: Notify,
     /// Cached reports of stalled requests, by the replica that was queried.
     pub stalled_reports: Mutex<HashMap<UpstreamKey, StalledReport>>,
     /// Current phase of a graceful shutdown.
@@ -133,6 +135,7 @@
         client: fetch::client(),
         metrics: MetricSet::new()?,
         peer_update: Notify::new(),
+        notice_update: Notify::new(),
         stalled_reports: Mutex::default(),
         shutdown,
         config,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,6 +13,7 @@
 use crate::gateway::chain::{choose_chain, ChainHop, ChainQuery};
 use crate::gateway::crash_ledger::CrashLedger;
 use crate::gateway::freshness::FreshnessProof;
+use crate::gateway::notice::NoticeQueue;
 use crate::gateway::peer::{LinkKey, PeerTable};
 use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamTable};
 use crate::verdict::{RefusalReason, RequestRefusal};
@@ -146,6 +147,8 @@
     pub peers: PeerTable,
     /// Replicas that crashed under requests, here and at the peers.
     pub crashes: CrashLedger,
+    /// Notices for the store.
+    pub notices: NoticeQueue,
     /// Addresses at which other gateways receive peer messages.
     pub peer_addresses: Vec<SocketAddr>,
     /// Whether the addresses were read from the store since the start.
@@ -165,6 +168,7 @@
             upstreams: UpstreamTable::default(),
             peers: PeerTable::default(),
             crashes: CrashLedger::default(),
+            notices: NoticeQueue::default(),
             peer_addresses: Vec::new(),
             peers_read: false,
             proof: FreshnessProof::new(setup.revoke_ms),
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::ClockTime;
 use crate::gateway::discovery::{follow_gateways, register};
+use crate::gateway::notice::{read_notices, write_notices};
 use crate::gateway::placement_runner::{run_placement, PlacementHandle};
 use crate::gateway::run::Gateway;
 use crate::gateway::state::ConfigProof;
@@ -67,6 +68,10 @@
     spawn_lasting("gateways", move || {
         follow_gateways(other_gateway.clone(), other_store.clone())
     });
+    let (notice_gateway, notice_store) = (gateway.clone(), store.clone());
+    spawn_lasting("notices", move || {
+        write_notices(notice_gateway.clone(), notice_store.clone())
+    });
     let (release_sender, release_receiver) = mpsc::channel(1);
     let release_receiver = Arc::new(Mutex::new(release_receiver));
     spawn_lasting("placement", move || {
@@ -325,6 +330,8 @@
     store: &KvStore,
     status: &StoreStatus,
 ) -> Result<Option<StorePosition>, String> {
+    // Before any upstream is known, so that none gets a request that a notice forbids.
+    read_notices(gateway, store).await?;
     let request = PlatformRequest::Range {
         key: REGISTRY_PREFIX.to_owned(),
         range_end: prefix_end(REGISTRY_PREFIX),
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -273,6 +273,9 @@
     ids: HashMap<String, UpstreamKey>,
     /// The incarnation that registered last at each address.
     addresses: HashMap<SocketAddr, UpstreamKey>,
+    /// Start of the incarnation that is known to be leaving, by id of the upstream, for entries that
+    /// are read later.
+    leaving: HashMap<String, u64>,
     version: u64,
 }
 
@@ -313,7 +316,8 @@
     /// availability changed.
     pub fn apply_entry(&mut self, now: ClockTime, entry: UpstreamEntry) -> bool {
         let mut said_leaving = false;
-        let mut draining = entry.draining;
+        let known_to_leave = self.leaving.get(&entry.id) == Some(&entry.born);
+        let mut draining = entry.draining || known_to_leave;
         if let Some(key) = self.ids.get(&entry.id).copied() {
             let record = &mut self.records[key.0 as usize];
             if entry.position < record.entry.position {
@@ -577,6 +581,18 @@
         self.mark_draining(key)
     }
 
+    /// Bars the incarnations of upstreams that are known to be leaving, by id, and those alone from
+    /// then on whose entries are read later.
+    pub fn bar_incarnations(&mut self, leaving: HashMap<String, u64>) {
+        for (id, born) in &leaving {
+            let key = self.ids.get(id).copied();
+            if let Some(key) = key.filter(|key| self.get(*key).entry.born == *born) {
+                self.mark_draining(key);
+            }
+        }
+        self.leaving = leaving;
+    }
+
     /// Adds a request of this gateway that is expected to need `reserved_kv` of KV memory, in
     /// tokens times layers.
     pub fn add_request(&mut self, key: UpstreamKey, reserved_kv: f64) {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod headers;
 pub mod kv;
+pub mod notice;
 pub mod order;
 pub mod registry;
 pub mod serving_config;
@@ -19,5 +20,7 @@
 pub const PLACEMENT_LEASE_KEY: &str = "lynxcart/duty/placing";
 /// Prefix of the store keys under which gateways register to find each other.
 pub const GATEWAY_PREFIX: &str = "lynxcart/gateways/";
+/// Prefix of the store keys of notices, which outlast the gateways that wrote them.
+pub const NOTICE_PREFIX: &str = "lynxcart/notices/";
 /// Store key of the placement plan, written by the lease holder.
 pub const PLAN_KEY: &str = "lynxcart/plan";
--- /dev/null
+++ b/src/platform/notice.rs
@@ -0,0 +1,45 @@
+//! Store items of notices, by which gateways that start learn what others learnt before.
+
+use eyre::{bail, WrapErr};
+
+use crate::gateway::notice::KeptNotice;
+use crate::platform::NOTICE_PREFIX;
+use crate::store::PlatformItem;
+
+const LEAVING: &str = "leaving/";
+const QUARANTINE: &str = "quarantine/";
+
+/// Returns the store key and value of a notice.
+pub fn encode_notice(notice: &KeptNotice) -> (String, Vec<u8>) {
+    match notice {
+        KeptNotice::Leaving { id, born } => (
+            format!("{NOTICE_PREFIX}{LEAVING}{id}"),
+            born.to_string().into_bytes(),
+        ),
+        KeptNotice::Quarantine(fingerprint) => {
+            let key = format!("{NOTICE_PREFIX}{QUARANTINE}{fingerprint}");
+            (key, Vec::new())
+        }
+    }
+}
+
+/// Decodes a notice.
+///
+/// # Errors
+///
+/// If the key names no kind of notice, or key or value are not in the form of that kind.
+pub fn decode_notice(item: &PlatformItem) -> eyre::Result<KeptNotice> {
+    let name = item.key.strip_prefix(NOTICE_PREFIX).unwrap_or(&item.key);
+    if let Some(id) = name.strip_prefix(LEAVING) {
+        let text = std::str::from_utf8(&item.value).wrap_err("the value is not text")?;
+        let born = text
+            .parse()
+            .wrap_err_with(|| format!("could not parse the start \"{text}\""))?;
+        let id = id.to_owned();
+        return Ok(KeptNotice::Leaving { id, born });
+    }
+    if let Some(text) = name.strip_prefix(QUARANTINE) {
+        return Ok(KeptNotice::Quarantine(text.parse()?));
+    }
+    bail!("unknown kind of notice, expected \"{LEAVING}\" or \"{QUARANTINE}\"")
+}
--- a/src/wire/gen.rs
+++ b/src/wire/gen.rs
@@ -457,7 +457,7 @@
     pub crashes: ::prost::alloc::vec::Vec<RequestCrashes>,
 }
 /// Replicas that crashed while they ran one request, which its caller may send again to any gateway.
-/// Without any, the request has completed since.
+/// Without any, and not quarantined, the request has completed since.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RequestCrashes {
     /// Hash of 16 bytes that identifies the request.
@@ -465,6 +465,9 @@
     pub fingerprint: ::prost::alloc::vec::Vec<u8>,
     #[prost(message, repeated, tag = "2")]
     pub crashes: ::prost::alloc::vec::Vec<ReplicaCrash>,
+    /// Time for which the request is still quarantined, in milliseconds; zero if it is not.
+    #[prost(uint32, tag = "3")]
+    pub quarantine_ms: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReplicaCrash {
--- a/standins/tests/crashing.rs
+++ b/standins/tests/crashing.rs
@@ -112,3 +112,28 @@
     let crashes = site.replicas.crashes().len();
     assert!(crashes <= MAX_CRASHES, "{crashes}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_crashed_replicas_is_refused_after_all_gateways_restart() {
+    let mut site = start_site("crashing-restart", 2).await;
+    let request = crashing(SiteRequest::lookup("p"), CRASHES_FIRST);
+    send_rounds(&site, 6, &request).await;
+    for gateway in 0..2 {
+        let process = &mut site.gateways[gateway].process;
+        process.kill().expect("the gateway should be killed");
+    }
+    for gateway in 0..2 {
+        site.restart_gateway(gateway)
+            .expect("the gateway should restart");
+        site.wait_until_ready(gateway, true)
+            .await
+            .expect("the gateway should become ready");
+    }
+    let before = site.replicas.crashes().len();
+    let request = SiteRequest {
+        id: "again".to_owned(),
+        ..request
+    };
+    assert_eq!(send_rounds(&site, 4, &request).await, [503; 4]);
+    assert_eq!(site.replicas.crashes().len(), before);
+}
--- a/standins/tests/gateway.rs
+++ b/standins/tests/gateway.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests of gateway processes over sockets: failures of replicas, gateways, the store
 //! and callers that the gateways must handle.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -586,6 +587,84 @@
     assert_eq!(arrivals(), 1);
 }
 
+/// Sends requests to a gateway and returns how many of them reached a replica.
+async fn count_arrivals(site: &TestSite, gateway: usize, replica: SocketAddr) -> u32 {
+    let before = site.replicas.state(replica).arrivals;
+    for number in 0..20 {
+        let id = format!("{gateway}-{before}-{number}");
+        let answer = site.fetch(gateway, &SiteRequest::issue(&id)).await;
+        assert_eq!(answer.expect("the gateway should respond").status, 200);
+    }
+    site.replicas.state(replica).arrivals - before
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_replica_gets_no_request_after_its_entry_lapsed_and_returned() {
+    let site = start_site("gateway-leaving-lapse", 2).await;
+    let leaving = site.plain_addresses[0];
+    site.replicas.change(leaving, |state| state.leaving = true);
+    assert_eq!(count_arrivals(&site, 0, leaving).await, 1);
+    // The platform takes the entry out although the replica still runs.
+    let id = site.replicas.state(leaving).id;
+    site.replicas.change(leaving, |state| state.dead = true);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    site.store.remove(&format!("servers/{id}"));
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    site.replicas.change(leaving, |state| state.dead = false);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for gateway in 0..2 {
+        assert_eq!(count_arrivals(&site, gateway, leaving).await, 0);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_replica_gets_no_request_from_gateways_that_restart() {
+    check_leaving_over_restart("gateway-leaving-restart", false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_replica_gets_no_request_after_a_restore_and_a_restart() {
+    check_leaving_over_restart("gateway-leaving-restore", true).await;
+}
+
+/// Restarts all gateways after one heard that a replica is leaving; before, if `restored` is set, the
+/// store goes back to a copy from before that.
+async fn check_leaving_over_restart(name: &str, restored: bool) {
+    let mut site = start_site(name, 2).await;
+    let copy = site.store.copy();
+    let leaving = site.plain_addresses[0];
+    site.replicas.change(leaving, |state| state.leaving = true);
+    assert_eq!(count_arrivals(&site, 0, leaving).await, 1);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    if restored {
+        site.store.restore(copy);
+        tokio::time::sleep(Duration::from_secs(2)).await;
+    }
+    for gateway in 0..2 {
+        let process = &mut site.gateways[gateway].process;
+        process.kill().expect("the gateway should be killed");
+    }
+    for gateway in 0..2 {
+        site.restart_gateway(gateway)
+            .expect("the gateway should restart");
+        site.wait_until_ready(gateway, true)
+            .await
+            .expect("the gateway should become ready");
+    }
+    for gateway in 0..2 {
+        assert_eq!(count_arrivals(&site, gateway, leaving).await, 0);
+    }
+    // It gets requests again when it has started again.
+    site.replicas.change(leaving, |state| {
+        state.leaving = false;
+        state.incarnation += 1;
+    });
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for gateway in 0..2 {
+        assert_ne!(count_arrivals(&site, gateway, leaving).await, 0);
+    }
+}
+
 /// The first replica of a stream's chain says that it is leaving: the stream goes on to its end,
 /// and no new chain has the replica.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/gateway/adapter.rs
+++ b/tests/gateway/adapter.rs
@@ -2,15 +2,19 @@
 //! reports.
 
 use http::{HeaderMap, Request};
+use lynxcart::fingerprint::RequestFingerprint;
 use lynxcart::gateway::catalog::WorkKind;
+use lynxcart::gateway::notice::KeptNotice;
 use lynxcart::gateway::placement::OrderReply;
 use lynxcart::gateway::upstream::LayerRange;
 use lynxcart::platform::headers::{
     caller_headers, request_meta, response_meta, store_era, upstream_request, AddedHeaders,
 };
+use lynxcart::platform::notice::{decode_notice, encode_notice};
 use lynxcart::platform::order::{decode_report, order_reply};
 use lynxcart::platform::registry::decode_entry;
 use lynxcart::platform::serving_config::decode_config;
+use lynxcart::platform::NOTICE_PREFIX;
 use lynxcart::store::position::{EraStatement, StorePosition};
 use lynxcart::store::PlatformItem;
 
@@ -359,3 +363,40 @@
     assert!(decode_report(b"no").is_err());
     assert_eq!(decode_report(b"{}").unwrap().slowdown, 1.0);
 }
+
+#[test]
+fn notices_are_read_as_they_were_written_and_others_are_rejected() {
+    let item = |key: String, value: Vec<u8>| PlatformItem {
+        key,
+        value,
+        create_revision: 1,
+        mod_revision: 1,
+    };
+    let fingerprint = RequestFingerprint::of(&[b"mill", b"GET", b"/x", b""]);
+    let leaving = |id: &str, born| KeptNotice::Leaving {
+        id: id.to_owned(),
+        born,
+    };
+    for notice in [
+        leaving("i-1", 0),
+        leaving("a/b", u64::MAX),
+        KeptNotice::Quarantine(fingerprint),
+        KeptNotice::Quarantine(RequestFingerprint([0; 16])),
+    ] {
+        let (key, value) = encode_notice(&notice);
+        assert!(key.starts_with(NOTICE_PREFIX), "{key}");
+        assert_eq!(decode_notice(&item(key, value)).unwrap(), notice);
+    }
+    for (name, value) in [
+        ("leaving/i-1", "soon"),
+        ("leaving/i-1", "-1"),
+        ("quarantine/", ""),
+        ("quarantine/xyz", ""),
+        ("quarantine/000000000000000000000000000000000", "0"),
+        ("unknown/i-1", "1"),
+        ("", ""),
+    ] {
+        let item = item(format!("{NOTICE_PREFIX}{name}"), value.as_bytes().to_vec());
+        assert!(decode_notice(&item).is_err(), "{name}");
+    }
+}
--- a/tests/gateway/crash_ledger.rs
+++ b/tests/gateway/crash_ledger.rs
@@ -224,3 +224,20 @@
         assert_eq!(quarantine_ms.is_some(), case.quarantined, "{}", case.name);
     }
 }
+
+#[test]
+fn quarantine_from_the_store_is_passed_on_and_ends() {
+    let mut started = CrashLedger::default();
+    assert!(started.quarantine(NOW, request(1), QUARANTINE_MS));
+    assert!(
+        !started.quarantine(NOW, request(1), QUARANTINE_MS),
+        "known already"
+    );
+    assert_eq!(started.quarantined_here().count(), 0, "others wrote it");
+    let mut other = CrashLedger::default();
+    for report in started.take_reports(NOW) {
+        assert_eq!(other.apply_report(NOW, &report), Some(request(1)));
+    }
+    assert_eq!(other.quarantine_ms(NOW, request(1)), Some(QUARANTINE_MS));
+    assert_eq!(other.quarantine_ms(NOW + QUARANTINE_MS, request(1)), None);
+}
--- a/tests/gateway/malformed.rs
+++ b/tests/gateway/malformed.rs
@@ -192,6 +192,7 @@
         in_flight in any::<u32>(),
         fingerprint in prop::collection::vec(any::<u8>(), 0..20),
         (address, ago_ms, observation) in (".*", any::<u32>(), any::<u64>()),
+        quarantine_ms in any::<u32>(),
     ) {
         let crash = ReplicaCrash { address, ago_ms, observation };
         let mut state = state(&[1], 1_000);
@@ -214,6 +215,7 @@
             crashes: vec![RequestCrashes {
                 fingerprint: fingerprint.clone(),
                 crashes: vec![crash.clone(), crash],
+                quarantine_ms,
             }],
         };
         for peer in ["one", "other"] {
