Bound what replicas that answer without an end make a gateway buffer

Responses are held until they are complete, up to 8 MiB each with no bound on all of them; answers to reports and orders had none but their timeout, and the text of a refused order went into the log whole.

Ruled out: a lower bound for each response alone; hundreds are in flight, and a limit that is safe for all of them at once would be close to what is sound.

Change: the first 64 KiB of a response do not count, what is beyond counts towards 32 MiB of all responses of the gateway, until the caller has it. Answers to reports and orders are read up to 256 KiB, other answers up to 32 MiB; whether a replica leaves is heeded before its body is read. An unusable answer to a report is not a crash. An unfinished event is buffered up to 64 KiB, before 256.

Stand-ins: RawReplica floods answers, streams, reports and orders in eight forms.

--- a/src/fetch.rs
+++ b/src/fetch.rs
@@ -1,16 +1,20 @@
 //! HTTP client helpers on top of hyper-util.
 
 use bytes::Bytes;
-use eyre::WrapErr;
+use eyre::{eyre, WrapErr};
 use http::header::CONTENT_TYPE;
 use http::{Method, Request, Response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
 
+/// Largest response body that is read, bytes. A page of the platform's store is about 1 MB, and a
+/// watch returns all changes since the last one.
+pub const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
+
 /// HTTP client for requests with a complete body.
 pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
@@ -114,12 +118,28 @@
 ///
 /// # Errors
 ///
-/// If the request cannot be sent or the response cannot be read.
+/// If the request cannot be sent, the response cannot be read, or its body is larger than
+/// [`MAX_BODY_BYTES`].
 pub async fn send_whole(
     client: &HttpClient,
     request: Request<Full<Bytes>>,
 ) -> eyre::Result<Response<Bytes>> {
-    let (head, body) = client.request(request).await?.into_parts();
-    let body = body.collect().await?.to_bytes();
-    Ok(Response::from_parts(head, body))
+    let response = client.request(request).await?;
+    read_whole(response, MAX_BODY_BYTES).await
+}
+
+/// Reads the body of a response, at most `max_bytes` bytes.
+///
+/// # Errors
+///
+/// If the body cannot be read or is larger.
+pub async fn read_whole(
+    response: Response<Incoming>,
+    max_bytes: usize,
+) -> eyre::Result<Response<Bytes>> {
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, max_bytes).collect().await;
+    // The error is a boxed one, which cannot be wrapped.
+    let body = body.map_err(|error| eyre!("could not read the body of a response: {error}"))?;
+    Ok(Response::from_parts(head, body.to_bytes()))
 }
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -4,7 +4,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Largest part of an incomplete event that is buffered, bytes.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
+const MAX_EVENT_BYTES: usize = 64 * 1024;
 
 /// Why a stream cannot be passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 pub mod repair;
 pub mod reroute;
 pub mod response;
+pub mod response_buffer;
 pub mod run;
 pub mod state;
 pub mod sync;
--- a/src/gateway/placement_runner.rs
+++ b/src/gateway/placement_runner.rs
@@ -57,6 +57,9 @@
     }
 }
 
+/// Part of the body of a refusal that is logged, bytes.
+const MAX_LOGGED_BYTES: usize = 200;
+
 /// Runs the placement controller until its release is requested.
 pub(super) async fn run_placement(
     gateway: Arc<Gateway>,
@@ -400,7 +403,7 @@
     match send_to_replica(gateway, order.upstream, request, ORDER_TIMEOUT_MS).await {
         Ok((status, body)) => {
             if status >= 300 {
-                let text = String::from_utf8_lossy(&body);
+                let text = String::from_utf8_lossy(&body[..body.len().min(MAX_LOGGED_BYTES)]);
                 spdlog::warn!("event=order_refused upstream={id} status={status} body=\"{text}\"");
             }
             match order_reply(status) {
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eyre::eyre;
 use http::{Request, StatusCode};
 use http_body_util::Full;
 
+use crate::fetch::read_whole;
 use crate::gateway::forward::RequestContext;
 use crate::gateway::notice::note_leaving;
 use crate::gateway::run::{Gateway, StalledReport};
@@ -28,6 +30,8 @@
 const REPORT_TIMEOUT_MS: u64 = 250;
 /// Timeout of an order to reroute a request, milliseconds.
 const REROUTE_TIMEOUT_MS: u64 = 400;
+/// Largest answer of a replica to a report query or an order, bytes.
+const MAX_ANSWER_BYTES: usize = 256 * 1024;
 /// Number of chains tried for a running request before rerouting is given up.
 const MAX_REROUTE_ORDERS: u32 = 4;
 
@@ -80,13 +84,15 @@
                 "event=first_replica_unresponsive request={} upstream={} failure={failure:?} given_up={}",
                 context.meta.id,
                 attempt.target.upstream_id,
-                unresponsive || failure == QueryFailure::Failed
+                unresponsive || failure != QueryFailure::TimedOut
             );
             // A replica that is only slow to answer goes on with its work.
             if failure == QueryFailure::TimedOut && !unresponsive {
                 return AttemptHealth::Alive;
             }
-            attempt.note_crash(context, first);
+            if failure != QueryFailure::Unusable {
+                attempt.note_crash(context, first);
+            }
             return AttemptHealth::Dead;
         }
     };
@@ -207,8 +213,10 @@
 pub enum QueryFailure {
     /// No answer arrived in time.
     TimedOut,
-    /// The connection was refused or reset, or the answer is not usable.
+    /// The connection was refused or reset.
     Failed,
+    /// The answer is not usable: a refusal, too large or malformed.
+    Unusable,
 }
 
 /// Returns the requests that the first replica of a chain reports as stalled, from a cached report
@@ -319,11 +327,11 @@
     let (status, body) = answer?;
     if status != 200 {
         spdlog::warn!("event=report_refused upstream={id} status={status}");
-        return Err(QueryFailure::Failed);
+        return Err(QueryFailure::Unusable);
     }
     decode_report(&body).map_err(|error| {
         spdlog::warn!("event=report_decode_failed upstream={id} error=\"{error:#}\"");
-        QueryFailure::Failed
+        QueryFailure::Unusable
     })
 }
 
@@ -343,19 +351,22 @@
         spdlog::error!("event=replica_request_encode_failed error=\"{error:#}\"");
         QueryFailure::Failed
     })?;
-    let exchange = crate::fetch::send_whole(&gateway.client, request);
-    match tokio::time::timeout(Duration::from_millis(timeout_ms), exchange).await {
-        Ok(Ok(response)) => {
-            // A 421 comes from another replica, which has the address now.
-            let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST;
-            if !is_other && is_leaving(response.headers()) {
-                note_leaving(gateway, key);
-            }
-            Ok((response.status().as_u16(), response.into_body()))
+    let exchange = async {
+        let response = gateway.client.request(request).await;
+        let response = response.map_err(|error| (QueryFailure::Failed, eyre!(error)))?;
+        // A 421 comes from another replica, which has the address now.
+        let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST;
+        if !is_other && is_leaving(response.headers()) {
+            note_leaving(gateway, key);
         }
-        Ok(Err(error)) => {
+        let answer = read_whole(response, MAX_ANSWER_BYTES).await;
+        answer.map_err(|error| (QueryFailure::Unusable, error))
+    };
+    match tokio::time::timeout(Duration::from_millis(timeout_ms), exchange).await {
+        Ok(Ok(response)) => Ok((response.status().as_u16(), response.into_body())),
+        Ok(Err((failure, error))) => {
             spdlog::warn!("event=replica_request_failed error=\"{error:#}\"");
-            Err(QueryFailure::Failed)
+            Err(failure)
         }
         Err(_) => Err(QueryFailure::TimedOut),
     }
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -7,10 +7,12 @@
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 
 use crate::clock::ClockTime;
 use crate::gateway::forward::RequestContext;
+use crate::gateway::response_buffer::ResponseBuffer;
 use crate::gateway::run::Gateway;
 use crate::gateway::upstream::UpstreamKey;
 use crate::gateway::upstream_attempt::OpenResponse;
@@ -18,9 +20,6 @@
 use crate::verdict::{RefusalReason, RequestRefusal, RunVerdict};
 use crate::web::problem_json;
 
-/// Largest response body that is buffered, bytes. Event streams are not buffered.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
-
 /// The body of a response to a caller, either complete or a stream of chunks.
 pub type GatewayBody = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -38,33 +37,57 @@
     } = opened;
     let (head, body) = response.into_parts();
     let remaining = Duration::from_millis(context.admitted.deadline.since(gateway.clock.now()));
-    let read_body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-    let body = match tokio::time::timeout(remaining, read_body).await {
-        Ok(Ok(body)) => body.to_bytes(),
+    let read = read_body(body, ResponseBuffer::new(&gateway.buffered_bytes));
+    let buffer = match tokio::time::timeout(remaining, read).await {
+        Ok(Ok(buffer)) => buffer,
         result => {
             spdlog::warn!(
-                "event=response_incomplete request={} upstream={} timed_out={}",
+                "event=response_incomplete request={} upstream={} reason={}",
                 context.meta.id,
                 attempt.target.upstream_id,
-                result.is_err()
+                match &result {
+                    Ok(Err(IncompleteBody::BrokenOff)) => "broken_off",
+                    Ok(_) => "too_large",
+                    Err(_) => "timed_out",
+                }
             );
-            if matches!(result, Ok(Err(error)) if !error.is::<LengthLimitError>()) {
+            if matches!(result, Ok(Err(IncompleteBody::BrokenOff))) {
                 attempt.note_crash(context, attempt.target.upstream);
             }
             return None;
         }
     };
     attempt.release_connection(&meta);
-    let mut response = Response::new(
-        Full::new(body)
-            .map_err(|never| match never {})
-            .boxed_unsync(),
-    );
+    let mut response = Response::new(buffer.into_body().boxed_unsync());
     *response.status_mut() = head.status;
     *response.headers_mut() = caller_headers(&head.headers);
     Some(response)
 }
 
+/// Why a response body is not complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum IncompleteBody {
+    /// The connection ended before the body did.
+    BrokenOff,
+    /// The body is larger than what is buffered.
+    TooLarge,
+}
+
+async fn read_body(
+    mut body: Incoming,
+    mut buffer: ResponseBuffer,
+) -> Result<ResponseBuffer, IncompleteBody> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| IncompleteBody::BrokenOff)?;
+        if let Some(data) = frame.data_ref() {
+            if !buffer.push(data) {
+                return Err(IncompleteBody::TooLarge);
+            }
+        }
+    }
+    Ok(buffer)
+}
+
 /// Logs and counts a complete response of an upstream, and returns the response for the caller. An
 /// error response after which the request is retried is counted too.
 pub fn record_response(
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -17,6 +17,7 @@
 use crate::config::GatewayConfig;
 use crate::fetch::{self, HttpClient};
 use crate::gateway::pool::ConnectionPool;
+use crate::gateway::response_buffer::BufferedBytes;
 use crate::gateway::state::{GatewaySetup, GatewayState};
 use crate::gateway::upstream::UpstreamKey;
 use crate::gateway::{listener, peer_exchange, placement_runner, sync};
@@ -70,6 +71,8 @@
     pub clock: BootClock,
     /// Idle connections to upstreams, kept for reuse.
     pub pool: ConnectionPool,
+    /// Bytes of responses that are held until they are complete.
+    pub buffered_bytes: BufferedBytes,
     /// HTTP client for report queries and orders to replicas.
     pub client: HttpClient,
     /// Metrics served on the readiness address.
@@ -132,6 +135,7 @@
         state: Mutex::new(state),
         clock: BootClock,
         pool: ConnectionPool::default(),
+        buffered_bytes: BufferedBytes::default(),
         client: fetch::client(),
         metrics: MetricSet::new()?,
         peer_update: Notify::new(),
--- a/standins/src/raw.rs
+++ b/standins/src/raw.rs
@@ -2,6 +2,7 @@
 //! answers by hand.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -26,6 +27,8 @@
     },
     /// Sends one event of a stream and then a byte of the next one every 20 ms, without an end.
     Trickles,
+    /// Sends bytes without an end.
+    Floods(Flood),
     /// Sends whole events of a stream, as many as the caller asks for.
     Streams {
         /// Pause before each event, in milliseconds.
@@ -33,6 +36,50 @@
     },
 }
 
+/// Bytes without an end that are no answer, written until the caller closes the connection.
+#[derive(Clone, Copy, Debug)]
+pub enum Flood {
+    /// One line of a response head.
+    HeaderLine,
+    /// Lines of a response head.
+    Headers,
+    /// Heads of responses that only announce another one.
+    InformationalHeads,
+    /// A body that ends with its connection.
+    Body,
+    /// A body in chunks.
+    ChunkedBody,
+    /// The extension of a chunk's length.
+    ChunkExtension,
+    /// An event of a stream.
+    Event,
+    /// Comments of a stream, which are no events.
+    Comments,
+}
+
+impl Flood {
+    /// The text before the flood, and the text that is repeated without an end.
+    fn texts(self, id: &str) -> (String, String) {
+        let status = "HTTP/1.1 200 OK\r\n";
+        let known = format!("x-attempt-id: {id}\r\nx-replica-stamp: stamp\r\n");
+        let filler = "x".repeat(4_000);
+        let chunk = |data: &str| format!("{:x}\r\n{data}\r\n", data.len());
+        match self {
+            Flood::HeaderLine => (format!("{status}x-line: "), filler),
+            Flood::Headers => (status.to_owned(), "x-line: some value\r\n".repeat(200)),
+            Flood::InformationalHeads => (String::new(), "HTTP/1.1 103 Early\r\n\r\n".repeat(200)),
+            Flood::Body => (format!("{status}{known}\r\n"), filler),
+            Flood::ChunkedBody => (stream_head(id), chunk(&filler)),
+            Flood::ChunkExtension => (format!("{}5;x=", stream_head(id)), filler),
+            Flood::Event => {
+                let start = format!("{}{}", stream_head(id), chunk("id: 1\ndata: "));
+                (start, chunk(&filler))
+            }
+            Flood::Comments => (stream_head(id), chunk(&": x\n\n".repeat(800))),
+        }
+    }
+}
+
 /// A replica that writes its answers by hand.
 #[derive(Clone, Debug)]
 pub struct RawReplica {
@@ -41,6 +88,12 @@
     behaviour: RawBehaviour,
     /// Delay of its answers to report queries; `None` leaves them unanswered.
     report_delay_ms: Option<u64>,
+    /// Flood in place of the answers to reports and orders; `None` for proper ones.
+    query_flood: Option<Flood>,
+    /// Number of reports and orders received.
+    queries: Arc<AtomicUsize>,
+    /// Number of connections on which a flood is being written.
+    floods: Arc<AtomicUsize>,
     /// Ids of the requests received, in order.
     received: Arc<Mutex<Vec<String>>>,
 }
@@ -54,12 +107,35 @@
     pub async fn start(
         behaviour: RawBehaviour,
         report_delay_ms: Option<u64>,
+    ) -> eyre::Result<RawReplica> {
+        RawReplica::start_with(behaviour, report_delay_ms, None).await
+    }
+
+    /// Starts a replica whose answers to reports and orders are a flood.
+    ///
+    /// # Errors
+    ///
+    /// If its listener cannot be opened.
+    pub async fn start_flooding_queries(
+        behaviour: RawBehaviour,
+        flood: Flood,
+    ) -> eyre::Result<RawReplica> {
+        RawReplica::start_with(behaviour, Some(0), Some(flood)).await
+    }
+
+    async fn start_with(
+        behaviour: RawBehaviour,
+        report_delay_ms: Option<u64>,
+        query_flood: Option<Flood>,
     ) -> eyre::Result<RawReplica> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let replica = RawReplica {
             address: listener.local_addr()?,
             behaviour,
             report_delay_ms,
+            query_flood,
+            queries: Arc::default(),
+            floods: Arc::default(),
             received: Arc::default(),
         };
         let server = replica.clone();
@@ -81,10 +157,18 @@
             ..ReplicaState::default()
         };
         table.add(self.address, state);
-        let (service, kind) = match layers {
-            0 => ("plain", ""),
-            _ => ("model", "card"),
-        };
+        match layers {
+            0 => self.write_entry(store, "plain", "", 0),
+            _ => self.write_entry(store, "model", "card", layers),
+        }
+    }
+
+    /// Registers the replica as an accelerator that holds no layers, so that it is sent orders.
+    pub fn register_empty(&self, store: &KvServer) {
+        self.write_entry(store, "model", "card", 0);
+    }
+
+    fn write_entry(&self, store: &KvServer, service: &str, kind: &str, layers: u64) {
         let entry = json!({
             "service": service, "address": self.address.to_string(), "zone": "a", "version": "v1",
             "slots": 64, "state": "ready", "sequence": 1, "born": 1, "kind": kind,
@@ -93,6 +177,16 @@
         store.put("servers/i-raw", &entry);
     }
 
+    /// Returns the number of connections on which a flood is being written.
+    pub fn floods(&self) -> usize {
+        self.floods.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of reports and orders received so far.
+    pub fn queries(&self) -> usize {
+        self.queries.load(Ordering::Relaxed)
+    }
+
     /// Returns the ids of the requests received so far.
     pub fn received(&self) -> Vec<String> {
         let received = self.received.lock().unwrap_or_else(PoisonError::into_inner);
@@ -114,7 +208,32 @@
         }
     }
 
+    /// Writes a flood until the caller closes the connection.
+    async fn write_flood(
+        &self,
+        stream: &mut TcpStream,
+        flood: Flood,
+        id: &str,
+    ) -> std::io::Result<()> {
+        self.floods.fetch_add(1, Ordering::Relaxed);
+        let (start, repeated) = flood.texts(id);
+        let mut end = stream.write_all(start.as_bytes()).await;
+        while end.is_ok() {
+            end = stream.write_all(repeated.as_bytes()).await;
+            // Leaves the gateways some of the machine.
+            tokio::time::sleep(Duration::from_micros(200)).await;
+        }
+        self.floods.fetch_sub(1, Ordering::Relaxed);
+        end
+    }
+
     async fn answer(&self, stream: &mut TcpStream, request: &RawRequest) -> std::io::Result<()> {
+        if request.path.starts_with("/api/") {
+            self.queries.fetch_add(1, Ordering::Relaxed);
+            if let Some(flood) = self.query_flood {
+                return self.write_flood(stream, flood, "").await;
+            }
+        }
         if request.path.starts_with("/api/report") {
             let Some(delay_ms) = self.report_delay_ms else {
                 return Ok(());
@@ -150,6 +269,7 @@
                     write_chunk(stream, "x").await?;
                 }
             }
+            RawBehaviour::Floods(flood) => self.write_flood(stream, flood, id).await,
             RawBehaviour::Streams { interval_ms } => {
                 stream.write_all(stream_head(id).as_bytes()).await?;
                 for number in request.first_event..=request.event_count {
