End an exchange whose response head does not end

What callers saw: a lookup whose replica sends informational heads (1xx) without an end was held to its deadline and got 504, though other replicas could serve it.

Cause: the client library passes over such heads and has no bound on them; bytes arrive all the time, so that only the deadline ended the exchange.

Change: until the head is complete, a connection to an upstream may bring 128 KiB; what exceeds it breaks the connection, and the request is retried as after any failure. What is not an answer does not count as a crash under the request.

--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -2,14 +2,22 @@
 //! kept for reuse while it is idle.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::{Request, Response};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::TrySendError;
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -27,14 +35,112 @@
 /// Largest number of idle connections kept for one upstream.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
+/// Largest read from a connection, and largest response head that is buffered, bytes.
+const MAX_READ_BYTES: usize = 64 * 1024;
+/// Bytes that an upstream may send before the end of a response head, those of informational
+/// responses included. One read may also contain the start of the body.
+const MAX_HEAD_BYTES: usize = 2 * MAX_READ_BYTES;
+
+/// Bytes that may still be read from a connection; unlimited while a body is received.
+#[derive(Clone, Debug)]
+struct ReadAllowance(Arc<AtomicUsize>);
+
+impl ReadAllowance {
+    const UNLIMITED: usize = usize::MAX;
+
+    fn set(&self, bytes: usize) {
+        self.0.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Takes bytes that were read out of the allowance. Returns false if they exceed it.
+    fn take(&self, bytes: usize) -> bool {
+        let left = self.0.load(Ordering::Relaxed);
+        if left != ReadAllowance::UNLIMITED {
+            self.set(left.saturating_sub(bytes));
+        }
+        bytes <= left
+    }
+}
+
+/// A stream that fails when its peer sends more than the allowance.
+#[derive(Debug)]
+struct LimitedStream {
+    stream: TcpStream,
+    allowance: ReadAllowance,
+}
+
+impl AsyncRead for LimitedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if !self.allowance.take(buffer.filled().len() - before) {
+            let message = format!("no end of the response head within {MAX_HEAD_BYTES} bytes");
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
+        }
+        result
+    }
+}
+
+impl AsyncWrite for LimitedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
 /// A connection to an upstream. It is closed when dropped.
 #[derive(Debug)]
 pub struct UpstreamConnection {
-    /// Sends one request at a time on the connection.
-    pub sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
+    allowance: ReadAllowance,
     task: AbortHandle,
 }
 
+impl UpstreamConnection {
+    /// Sends a request and waits for the response head. The connection carries one request at a time.
+    ///
+    /// # Errors
+    ///
+    /// If the request could not be sent, in which case the error contains it, or no valid head of
+    /// limited size was received.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.allowance.set(MAX_HEAD_BYTES);
+        let result = self.sender.try_send_request(request).await;
+        self.allowance.set(ReadAllowance::UNLIMITED);
+        result
+    }
+}
+
 impl Drop for UpstreamConnection {
     fn drop(&mut self) {
         self.task.abort();
@@ -120,7 +226,13 @@
     let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
     let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
+    let allowance = ReadAllowance(Arc::new(AtomicUsize::new(MAX_HEAD_BYTES)));
+    let stream = LimitedStream {
+        stream,
+        allowance: allowance.clone(),
+    };
     let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BYTES)
         .handshake(TokioIo::new(stream))
         .await?;
     let task = tokio::spawn(async move {
@@ -130,6 +242,7 @@
     });
     Ok(UpstreamConnection {
         sender,
+        allowance,
         task: task.abort_handle(),
     })
 }
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -1,5 +1,7 @@
 //! One attempt of a request at an upstream, from sending it to receiving the response headers.
 
+use std::error::Error;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -142,7 +144,7 @@
         return Err(failed(AttemptFailure::NotSent));
     }
     let request = build_request(context, &attempt.target, now, last_event_id);
-    let exchange = connection.sender.try_send_request(request);
+    let exchange = connection.exchange(request);
     let outcome = wait_for_head(gateway, context, &mut attempt, may_retry, exchange).await;
     let response = match outcome {
         Some(Ok(response)) => response,
@@ -161,7 +163,9 @@
                 .state()
                 .upstreams
                 .record_exchange_failure(gateway.clock.now(), key);
-            attempt.note_crash(context, key);
+            if is_broken_off(error.error()) {
+                attempt.note_crash(context, key);
+            }
             return Err(failed(AttemptFailure::Lost));
         }
         None => return Err(failed(AttemptFailure::Lost)),
@@ -275,6 +279,13 @@
     );
 }
 
+/// Whether an exchange failed because the connection ended, and not because of what was received.
+fn is_broken_off(error: &hyper::Error) -> bool {
+    let io_error = error.source().and_then(|source| source.downcast_ref());
+    let is_invalid = io_error.map(io::Error::kind) == Some(io::ErrorKind::InvalidData);
+    !error.is_parse() && !is_invalid
+}
+
 /// Whether a request may still be sent to a target that was chosen for it before.
 fn may_still_send(gateway: &Gateway, context: &RequestContext, now: ClockTime) -> bool {
     let state = gateway.state();
--- a/standins/tests/flood.rs
+++ b/standins/tests/flood.rs
@@ -61,6 +61,7 @@
     let floods = [
         Flood::HeaderLine,
         Flood::Headers,
+        Flood::InformationalHeads,
         Flood::Body,
         Flood::ChunkedBody,
         Flood::ChunkExtension,
