Keep one record for an incarnation, and ask it again right before a send

The time for which a replica asked to be left alone was lost like "leaving" when its entry lapsed and returned; and a target chosen before a connection was opened, or before the process was suspended, was sent to although one of its replicas had said since that it leaves.

Change: an incarnation that registers again gets its old record back, in place of fields that are taken over; may_still_send asks whether all replicas of the target still take requests.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -327,6 +327,14 @@
         key_proved && now < request.deadline
     }
 
+    /// Whether a target that was chosen before still takes new requests: none of its replicas has
+    /// said since that it is leaving, or is gone.
+    pub fn takes_requests(&self, target: &SendTarget) -> bool {
+        let first = std::iter::once(target.upstream);
+        let mut replicas = first.chain(target.chain.iter().map(|hop| hop.upstream));
+        replicas.all(|key| self.upstreams.get(key).registered())
+    }
+
     /// Takes one retry for a service out of its budget. Returns false if none is left.
     pub fn spend_retry(&mut self, now: ClockTime, service: &str) -> bool {
         let rule = self.setup.budget;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -315,15 +315,15 @@
     /// Applies a registry entry. Returns whether an upstream, its layers, its address or its
     /// availability changed.
     pub fn apply_entry(&mut self, now: ClockTime, entry: UpstreamEntry) -> bool {
-        let mut said_leaving = false;
-        let known_to_leave = self.leaving.get(&entry.id) == Some(&entry.born);
-        let mut draining = entry.draining || known_to_leave;
         if let Some(key) = self.ids.get(&entry.id).copied() {
             let record = &mut self.records[key.0 as usize];
             if entry.position < record.entry.position {
                 return false;
             }
-            if record.entry.born == entry.born && !record.gone {
+            // The entry of an upstream that still runs may lapse and return: what is known of its
+            // incarnation holds on. Zero is an unknown start, which may be a new one.
+            let is_known = !record.gone || entry.born != 0;
+            if record.entry.born == entry.born && is_known {
                 if entry.position > record.entry.position {
                     record.last_heartbeat = now;
                     // A heartbeat that was under way when the replica died is no evidence that it
@@ -335,6 +335,7 @@
                         record.death_report = None;
                     }
                 }
+                record.gone = false;
                 let changed = record.gone_at.take().is_some()
                     || record.entry.draining != entry.draining
                     || record.entry.layers != entry.layers
@@ -347,13 +348,8 @@
                 return changed;
             }
             record.gone = true;
-            // The entry of an upstream that still runs may lapse and return. It is leaving all the
-            // same. Zero is an unknown start, which shows nothing.
-            if record.entry.born == entry.born && entry.born != 0 {
-                said_leaving = record.said_leaving;
-                draining |= record.entry.draining;
-            }
         }
+        let draining = entry.draining || self.leaving.get(&entry.id) == Some(&entry.born);
         let key = UpstreamKey(u32::try_from(self.records.len()).unwrap_or(u32::MAX));
         self.ids.insert(entry.id.clone(), key);
         self.addresses.insert(entry.address, key);
@@ -365,7 +361,7 @@
             paused_until: now,
             last_refusal: ClockTime::default(),
             refusals: 0,
-            said_leaving,
+            said_leaving: false,
             rest_until: now,
             death_report: None,
             unanswered_since: None,
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -140,7 +140,7 @@
     };
     // Opening the connection may have taken long, and the VM may have been suspended meanwhile.
     let now = gateway.clock.now();
-    if !may_still_send(gateway, context, now) {
+    if !may_still_send(gateway, context, &attempt.target, now) {
         return Err(failed(AttemptFailure::NotSent));
     }
     let request = build_request(context, &attempt.target, now, last_event_id);
@@ -287,9 +287,15 @@
 }
 
 /// Whether a request may still be sent to a target that was chosen for it before.
-fn may_still_send(gateway: &Gateway, context: &RequestContext, now: ClockTime) -> bool {
+fn may_still_send(
+    gateway: &Gateway,
+    context: &RequestContext,
+    target: &SendTarget,
+    now: ClockTime,
+) -> bool {
     let state = gateway.state();
-    !context.is_barred(now, &state) && state.may_still_send(now, &context.admitted)
+    let is_open = !context.is_barred(now, &state) && state.takes_requests(target);
+    is_open && state.may_still_send(now, &context.admitted)
 }
 
 fn build_request(
--- a/tests/gateway/state.rs
+++ b/tests/gateway/state.rs
@@ -4,7 +4,7 @@
 use lynxcart::gateway::budget::BudgetRule;
 use lynxcart::gateway::catalog::{RouteRule, RouteTarget, ServingConfig, TeamRule, WorkKind};
 use lynxcart::gateway::state::{ConfigProof, GatewaySetup, GatewayState, RequestHead};
-use lynxcart::gateway::upstream::{LayerRange, UpstreamKey};
+use lynxcart::gateway::upstream::{LayerRange, UpstreamEntry, UpstreamKey};
 use lynxcart::verdict::{RefusalReason, RunVerdict};
 
 use crate::fixture::{config, entry, placed_fleet, SERVICE};
@@ -303,3 +303,27 @@
         (RefusalReason::Busy, Some(3_000))
     );
 }
+
+#[test]
+fn target_that_was_chosen_before_a_replica_of_it_said_that_it_leaves_is_not_sent_to() {
+    let mut state = state();
+    state.apply_config(serving());
+    state.upstreams = placed_fleet().1;
+    state.proof.renew(NOW);
+    let request = state.admit(NOW, &HEAD).unwrap();
+    let target = state.choose_target(NOW, &request, &[], None).unwrap();
+    assert!(target.chain.len() > 1);
+    assert!(state.takes_requests(&target));
+    let last = target.chain[target.chain.len() - 1].upstream;
+    state.upstreams.mark_leaving(last);
+    assert!(!state.takes_requests(&target));
+    // The next incarnation is another upstream, and the target still names this one.
+    let entry = state.upstreams.get(last).entry.clone();
+    let next = UpstreamEntry {
+        born: entry.born + 1,
+        draining: false,
+        ..entry
+    };
+    state.upstreams.apply_entry(NOW, next);
+    assert!(!state.takes_requests(&target));
+}
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -398,3 +398,36 @@
         }
     }
 }
+
+#[test]
+fn upstream_that_asked_to_be_left_alone_is_left_alone_when_its_entry_lapses_and_returns() {
+    for (born, resting) in [(7, true), (8, false), (0, false)] {
+        let entry = |position| UpstreamEntry {
+            born,
+            ..plain_entry("x", position)
+        };
+        let first = UpstreamEntry {
+            born: born.min(7),
+            ..plain_entry("x", 1)
+        };
+        let mut table = UpstreamTable::default();
+        table.apply_entry(NOW, first);
+        let address = "10.0.0.2:80".parse().unwrap();
+        let key = table.by_address(address).unwrap();
+        table.rest(NOW, key, 9_000);
+        table.add_request(key, 1.0);
+        table.remove_entry(NOW, "x", at(2), false);
+        table.apply_entry(NOW + 3_000, entry(3));
+        let returned = table.by_address(address).unwrap();
+        assert_eq!(
+            table.get(returned).resting(NOW + 3_000),
+            resting,
+            "born {born}"
+        );
+        assert_eq!(
+            table.get(returned).in_flight,
+            u32::from(resting),
+            "born {born}"
+        );
+    }
+}
