Soak requests that crash the replicas that run them

Change: one request in sixty crashes the plain replica that runs it; the soak checks the users' bound on retries after the third crash, except within 4 s of a fault of a gateway or of the store.

--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -12,7 +12,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::task::JoinSet;
 
-use crate::replica::ReplicaFault;
+use crate::replica::{ReplicaFault, CRASHES_FIRST};
 use crate::site::{read_up_to, send, SiteRequest, SiteResponse, TestSite, DEADLINE_MS, LAYERS};
 
 /// Number of concurrent callers.
@@ -31,6 +31,13 @@
 const MIN_SERVED_SHARE: f64 = 0.4;
 /// Maximum number of runs of a request: `max_attempts` of the site's routes.
 const MAX_RUNS: usize = 2;
+/// Crashes under the same request from which on all gateways have to know of it.
+const MAX_CRASHES: usize = 3;
+/// Replicas that the request may reach after that. It is the users' bound.
+const MAX_LATE_RETRIES: usize = 3;
+/// Time that gateways have to tell each other, in milliseconds. The bound does not hold for it after
+/// a fault of a gateway or of the store either.
+const CONTACT_MS: u64 = 4_000;
 /// Time after the start of a gateway until its signal handlers are installed, in milliseconds. An
 /// earlier SIGHUP would end the process.
 const SIGNAL_READY_MS: u64 = 500;
@@ -159,9 +166,10 @@
         records.extend(joined?);
     }
     check_recovery(&site).await?;
+    check_crashes(&site, &faults)?;
     let mut report = check_requests(&site, &records)
         .wrap_err_with(|| format!("seed {}, logs in {}", setup.seed, setup.log_dir.display()))?;
-    report.faults = faults;
+    report.faults = faults.count;
     Ok(report)
 }
 
@@ -181,6 +189,10 @@
         }
         let id = format!("c{caller}-{count}");
         let request = match rng.random_range(0..4) {
+            _ if rng.random_range(0..60) == 0 => SiteRequest {
+                body: CRASHES_FIRST,
+                ..SiteRequest::lookup(&id)
+            },
             0 | 1 => SiteRequest::stream(&id, STREAM_EVENTS),
             2 => SiteRequest::issue(&id),
             _ => SiteRequest::lookup(&id),
@@ -223,11 +235,28 @@
     }
 }
 
-/// Injects and removes faults until `end`, then removes the rest. Returns the number injected.
-async fn inject_faults(site: &mut TestSite, end: Instant, seed: u64) -> eyre::Result<usize> {
+/// Faults that were injected.
+#[derive(Clone, Debug, Default)]
+struct FaultLog {
+    count: usize,
+    /// When faults of gateways and of the store began and ended.
+    disturbances: Vec<(Instant, Instant)>,
+}
+
+impl FaultLog {
+    /// Whether gateways and store were sound for [`CONTACT_MS`] before `at`.
+    fn in_contact(&self, at: Instant) -> bool {
+        let contact = Duration::from_millis(CONTACT_MS);
+        let mut disturbances = self.disturbances.iter();
+        disturbances.all(|(began, ended)| at < *began || at > *ended + contact)
+    }
+}
+
+/// Injects and removes faults until `end`, then removes the rest.
+async fn inject_faults(site: &mut TestSite, end: Instant, seed: u64) -> eyre::Result<FaultLog> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut active: Vec<(Instant, SoakFault)> = Vec::new();
-    let mut count = 0;
+    let mut log = FaultLog::default();
     while Instant::now() < end {
         let now = Instant::now();
         let (expired, remaining) = active
@@ -245,14 +274,28 @@
             inject_fault(site, fault)?;
             let length = Duration::from_millis(rng.random_range(150..2_500));
             active.push((now + length, fault));
-            count += 1;
+            log.count += 1;
+            if disturbs_gateways(fault) {
+                log.disturbances.push((now, now + length));
+            }
         }
         tokio::time::sleep(Duration::from_millis(rng.random_range(50..400))).await;
     }
     for (_, fault) in active {
         remove_fault(site, fault)?;
     }
-    Ok(count)
+    Ok(log)
+}
+
+fn disturbs_gateways(fault: SoakFault) -> bool {
+    use SoakFault as Fault;
+    matches!(
+        fault,
+        Fault::GatewayKilled(_)
+            | Fault::GatewaySuspended(_)
+            | Fault::StoreOutage
+            | Fault::StoreRestored
+    )
 }
 
 /// Checks that no gateway has exited except those that a fault has killed.
@@ -435,6 +478,24 @@
     Ok(())
 }
 
+/// Checks that the request that crashes replicas reached few of them once it was known.
+fn check_crashes(site: &TestSite, faults: &FaultLog) -> eyre::Result<()> {
+    let crashes = site.replicas.crashes();
+    let Some(third) = crashes.get(MAX_CRASHES - 1) else {
+        return Ok(());
+    };
+    let known_at = *third + Duration::from_millis(CONTACT_MS);
+    let late = crashes
+        .iter()
+        .filter(|at| **at > known_at && faults.in_contact(**at));
+    let late = late.count();
+    ensure!(
+        late <= MAX_LATE_RETRIES,
+        "a request that had crashed {MAX_CRASHES} replicas crashed {late} more"
+    );
+    Ok(())
+}
+
 /// Checks all runs and all received responses, and that enough requests were served.
 fn check_requests(site: &TestSite, records: &[RequestRecord]) -> eyre::Result<SoakReport> {
     let mut report = SoakReport {
@@ -447,7 +508,7 @@
             "expected team \"mill\" and no API key: {run:?}"
         );
         ensure!(
-            run.body == format!("body of {}", run.request_id),
+            run.body == CRASHES_FIRST || run.body == format!("body of {}", run.request_id),
             "expected the body of the request: {run:?}"
         );
         if !run.chain.is_empty() {
