Follow the notices in the store, not only peers' messages

Cause: found by looking for the same cause in VMs that are cut off. A VM without a way to its peers, but with one to the store, heard of no quarantine and of no leaving replica until it read the registry anew; the users' rules hold for such a VM.

Change: the notices are watched like the gateways' addresses: one call in 20 s, and one for each notice.

--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -1,19 +1,22 @@
 //! What this gateway learns of replicas while it serves requests. Peers are told, and what no process
 //! may forget is kept in the store, from which gateways that start read it.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::sync::Arc;
 
+use crate::clock::ClockTime;
 use crate::fingerprint::RequestFingerprint;
 use crate::gateway::crash_ledger::{MAX_CRASHES, QUARANTINE_MS};
 use crate::gateway::forward::RequestContext;
 use crate::gateway::run::Gateway;
-use crate::gateway::sync::StoreStatus;
+use crate::gateway::state::GatewayState;
+use crate::gateway::sync::{StoreStatus, REGISTRY_WATCH_MS};
 use crate::gateway::upstream::UpstreamKey;
-use crate::platform::kv::KvStore;
+use crate::platform::kv::{KvStore, StoreChange, WatchOutcome};
 use crate::platform::notice::{decode_notice, encode_notice};
 use crate::platform::NOTICE_PREFIX;
-use crate::store::{prefix_end, PlatformRequest, PlatformResponse, PlatformWrite};
+use crate::store::position::StorePosition;
+use crate::store::{prefix_end, PlatformItem, PlatformRequest, PlatformResponse, PlatformWrite};
 
 /// Time to live of the lease under which notices are written, seconds. It is not renewed, so that
 /// the store drops notices by itself.
@@ -166,50 +169,105 @@
     }
 }
 
+/// Follows the notices of other gateways, also of those that peer messages do not reach.
+pub(super) async fn follow_notices(gateway: Arc<Gateway>, store: KvStore) {
+    let mut status = StoreStatus::new("notices");
+    let mut after: Option<StorePosition> = None;
+    loop {
+        let result = match after {
+            None => read_notices(&gateway, &store).await.map(Some),
+            Some(after) => watch_notices(&gateway, &store, after).await,
+        };
+        match result {
+            Ok(next) => {
+                status.recover();
+                after = next;
+            }
+            Err(error) => status.back_off(gateway.clock.now(), &error).await,
+        }
+    }
+}
+
+async fn watch_notices(
+    gateway: &Gateway,
+    store: &KvStore,
+    after: StorePosition,
+) -> Result<Option<StorePosition>, String> {
+    match store.watch(NOTICE_PREFIX, after, REGISTRY_WATCH_MS).await {
+        Ok(WatchOutcome::Changes(changes, position)) => {
+            let now = gateway.clock.now();
+            for change in &changes {
+                // What a notice forbids stays forbidden when the notice expires.
+                if let StoreChange::Put(item) = change {
+                    apply_notice(now, &mut gateway.state(), item);
+                }
+            }
+            Ok(Some(position))
+        }
+        Ok(WatchOutcome::Compacted | WatchOutcome::Restored) => Ok(None),
+        Err(error) => Err(error.0),
+    }
+}
+
+/// Applies a notice. Returns `None` if it cannot be decoded.
+fn apply_notice(
+    now: ClockTime,
+    state: &mut GatewayState,
+    item: &PlatformItem,
+) -> Option<KeptNotice> {
+    let notice = match decode_notice(item) {
+        Ok(notice) => notice,
+        Err(error) => {
+            spdlog::warn!(
+                "event=notice_decode_failed key={} error=\"{error:#}\"",
+                item.key
+            );
+            return None;
+        }
+    };
+    match &notice {
+        KeptNotice::Leaving { id, born } => {
+            if state.upstreams.bar_incarnation(id, *born) {
+                spdlog::info!("event=upstream_leaving id={id} peer=store");
+            }
+        }
+        KeptNotice::Quarantine(fingerprint) => {
+            if state.crashes.quarantine(now, *fingerprint, QUARANTINE_MS) {
+                spdlog::warn!("event=request_quarantined fingerprint={fingerprint} peer=store");
+            }
+        }
+    }
+    Some(notice)
+}
+
 /// Applies the notices in the store, and writes those of this gateway again that it lacks, as after
-/// a restore from an older copy.
+/// a restore from an older copy. Returns the position that was read.
 ///
 /// # Errors
 ///
 /// If the notices cannot be read.
-pub(super) async fn read_notices(gateway: &Gateway, store: &KvStore) -> Result<(), String> {
+pub(super) async fn read_notices(
+    gateway: &Gateway,
+    store: &KvStore,
+) -> Result<StorePosition, String> {
     let request = PlatformRequest::Range {
         key: NOTICE_PREFIX.to_owned(),
         range_end: prefix_end(NOTICE_PREFIX),
     };
-    let items = match store.request(request).await {
-        Ok((PlatformResponse::Range { items, .. }, _)) => items,
+    let (position, items) = match store.request(request).await {
+        Ok((PlatformResponse::Range { revision, items }, era)) => {
+            (StorePosition::new(era, revision), items)
+        }
         Ok(other) => return Err(format!("unexpected response: {other:?}")),
         Err(error) => return Err(error.0),
     };
     let now = gateway.clock.now();
     let state = &mut *gateway.state();
-    let mut stored = HashSet::new();
-    let mut leaving = HashMap::new();
-    for item in &items {
-        let notice = match decode_notice(item) {
-            Ok(notice) => notice,
-            Err(error) => {
-                spdlog::warn!(
-                    "event=notice_decode_failed key={} error=\"{error:#}\"",
-                    item.key
-                );
-                continue;
-            }
-        };
-        match &notice {
-            KeptNotice::Leaving { id, born } => {
-                leaving.insert(id.clone(), *born);
-            }
-            KeptNotice::Quarantine(fingerprint) => {
-                if state.crashes.quarantine(now, *fingerprint, QUARANTINE_MS) {
-                    spdlog::warn!("event=request_quarantined fingerprint={fingerprint} peer=store");
-                }
-            }
-        }
-        stored.insert(notice);
-    }
-    state.upstreams.bar_incarnations(leaving);
+    state.upstreams.forget_barred_incarnations();
+    let stored = items
+        .iter()
+        .filter_map(|item| apply_notice(now, state, item));
+    let stored: HashSet<KeptNotice> = stored.collect();
     let leaving = state.upstreams.iter();
     let leaving = leaving.filter(|(_, record)| record.said_leaving);
     let leaving = leaving.map(|(_, record)| KeptNotice::Leaving {
@@ -223,5 +281,5 @@
         }
     }
     gateway.notice_update.notify_one();
-    Ok(())
+    Ok(position)
 }
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::ClockTime;
 use crate::gateway::discovery::{follow_gateways, register};
-use crate::gateway::notice::{read_notices, write_notices};
+use crate::gateway::notice::{follow_notices, read_notices, write_notices};
 use crate::gateway::placement_runner::{run_placement, PlacementHandle};
 use crate::gateway::run::Gateway;
 use crate::gateway::state::ConfigProof;
@@ -68,8 +68,12 @@
     spawn_lasting("gateways", move || {
         follow_gateways(other_gateway.clone(), other_store.clone())
     });
-    let (notice_gateway, notice_store) = (gateway.clone(), store.clone());
+    let (follow_gateway, follow_store) = (gateway.clone(), store.clone());
     spawn_lasting("notices", move || {
+        follow_notices(follow_gateway.clone(), follow_store.clone())
+    });
+    let (notice_gateway, notice_store) = (gateway.clone(), store.clone());
+    spawn_lasting("notice_writer", move || {
         write_notices(notice_gateway.clone(), notice_store.clone())
     });
     let (release_sender, release_receiver) = mpsc::channel(1);
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -577,16 +577,18 @@
         self.mark_draining(key)
     }
 
-    /// Bars the incarnations of upstreams that are known to be leaving, by id, and those alone from
-    /// then on whose entries are read later.
-    pub fn bar_incarnations(&mut self, leaving: HashMap<String, u64>) {
-        for (id, born) in &leaving {
-            let key = self.ids.get(id).copied();
-            if let Some(key) = key.filter(|key| self.get(*key).entry.born == *born) {
-                self.mark_draining(key);
-            }
-        }
-        self.leaving = leaving;
+    /// Bars the incarnation of an upstream that started at `born`, since it is leaving, whether or not
+    /// its registry entry is known yet. Returns whether it was known and not draining before.
+    pub fn bar_incarnation(&mut self, id: &str, born: u64) -> bool {
+        self.leaving.insert(id.to_owned(), born);
+        let key = self.ids.get(id).copied();
+        let key = key.filter(|key| self.get(*key).entry.born == born);
+        key.is_some_and(|key| self.mark_draining(key))
+    }
+
+    /// Forgets the barred incarnations whose registry entries are not known.
+    pub fn forget_barred_incarnations(&mut self) {
+        self.leaving.clear();
     }
 
     /// Adds a request of this gateway that is expected to need `reserved_kv` of KV memory, in
--- a/standins/tests/gateway.rs
+++ b/standins/tests/gateway.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use http_body_util::BodyExt;
+use lynxcart::fingerprint::RequestFingerprint;
 use standins::replica::{ReplicaFault, EVENT_INTERVAL_MS};
 use standins::site::{read_response, SiteRequest, TestSite, API_KEY};
 
@@ -767,3 +768,26 @@
         .map(|address| site.replicas.state(*address).arrivals)
         .sum()
 }
+
+/// Notices of a gateway that this one cannot hear, as when the VMs are cut off from each other.
+#[tokio::test(flavor = "multi_thread")]
+async fn notices_in_the_store_hold_for_gateways_that_no_peer_can_tell() {
+    let site = start_site("gateway-notices", 1).await;
+    let leaving = site.plain_addresses[0];
+    let id = site.replicas.state(leaving).id;
+    site.store
+        .put(&format!("lynxcart/notices/leaving/{id}"), &1.into());
+    let refused = SiteRequest {
+        body: "refused",
+        ..SiteRequest::lookup("q")
+    };
+    let parts: [&[u8]; 4] = [b"mill", b"POST", b"/lookup/x", b"refused"];
+    let fingerprint = RequestFingerprint::of(&parts);
+    let key = format!("lynxcart/notices/quarantine/{fingerprint}");
+    site.store.put(&key, &0.into());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(count_arrivals(&site, 0, leaving).await, 0);
+    let answer = site.fetch(0, &refused).await;
+    assert_eq!(answer.expect("the gateway should respond").status, 503);
+    assert_eq!(site.run_count("q"), 0);
+}
