Do not quarantine a request that has just completed

Cause: read while reviewing: a notice in the store that was written just before a request completed would refuse it for ten minutes.

Change: a completion holds against notices of the store as against peers' reports; crashes=uncounted in the log in place of None.

Measured: request_that_has_just_completed_... passes; its line on the store fails without the change.

--- a/src/gateway/crash_ledger.rs
+++ b/src/gateway/crash_ledger.rs
@@ -36,8 +36,8 @@
 /// of which complete in their next attempt.
 const MAX_HISTORIES: usize = 8_192;
 
-/// Crashes under one request as its caller sent it, over all its attempts and reroutes. A request that
-/// meets a failure of several replicas at once loses attempts at them one after the other, so that
+/// Crashes under one request as its caller sent it, over all its attempts and reroutes. A request
+/// that meets a failure of several replicas at once loses attempts at them one after the other, so that
 /// crashes in quick succession count once, unless the same request met crashes before it was resent.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CrashSeries {
@@ -179,7 +179,8 @@
     }
 
     /// Quarantines a request that was quarantined by another gateway, or before a restart, for
-    /// `remaining_ms` milliseconds. Returns whether it was not quarantined before.
+    /// `remaining_ms` milliseconds, unless it has just completed. Returns whether it was not
+    /// quarantined before.
     pub fn quarantine(
         &mut self,
         now: ClockTime,
@@ -189,9 +190,11 @@
         let Some(history) = self.history(now, fingerprint) else {
             return false;
         };
-        history.expires_at = history
-            .expires_at
-            .max(now + remaining_ms.min(QUARANTINE_MS));
+        if history.completed() && now < history.expires_at {
+            return false;
+        }
+        let until = now + remaining_ms.min(QUARANTINE_MS);
+        history.expires_at = history.expires_at.max(until);
         !std::mem::replace(&mut history.quarantined, true)
     }
 
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -1,5 +1,5 @@
-//! What this gateway learns of replicas while it serves requests. Peers are told, and what no process
-//! may forget is kept in the store, from which gateways that start read it.
+//! What this gateway learns of replicas while it serves requests. Peers are told, and what no
+//! process may forget is kept in the store, from which gateways that start read it.
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -100,8 +100,9 @@
         rand::random(),
     );
     drop(state);
+    let crashes = added.map_or_else(|| "uncounted".to_owned(), |crashes| crashes.to_string());
     spdlog::info!(
-        "event=crash_under_request request={} fingerprint={} upstream={id} crashes={added:?}",
+        "event=crash_under_request request={} fingerprint={} upstream={id} crashes={crashes}",
         context.meta.id,
         context.fingerprint,
     );
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -20,7 +20,7 @@
 /// Gap between two runs of the sending task from which the process counts as paused, milliseconds.
 /// A gateway that is merely short of processor time comes later than its interval.
 const MAX_PULSE_GAP_MS: u64 = 10 * LOAD_INTERVAL_MS;
-/// Upper bound of the requests with crashes in one message, so that the message fits into one packet.
+/// Upper bound of the requests with crashes in one message, so that it fits into one packet.
 const MAX_CRASHES_PER_MESSAGE: usize = 10;
 /// Size of the receive buffer, bytes. The rest of a larger datagram is cut off.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
--- a/tests/gateway/crash_ledger.rs
+++ b/tests/gateway/crash_ledger.rs
@@ -241,3 +241,21 @@
     assert_eq!(other.quarantine_ms(NOW, request(1)), Some(QUARANTINE_MS));
     assert_eq!(other.quarantine_ms(NOW + QUARANTINE_MS, request(1)), None);
 }
+
+#[test]
+fn request_that_has_just_completed_is_not_quarantined_by_what_was_told_before() {
+    let mut ledger = CrashLedger::default();
+    for number in 0..3 {
+        crash_once(&mut ledger, NOW, request(1), replica(number), number.into());
+    }
+    let told_before = ledger.take_reports(NOW);
+    ledger.record_completion(NOW + 100, request(1));
+    for report in &told_before {
+        assert_eq!(ledger.apply_report(NOW + 200, report), None);
+    }
+    assert!(!ledger.quarantine(NOW + 300, request(1), QUARANTINE_MS));
+    assert_eq!(ledger.quarantine_ms(NOW + 300, request(1)), None);
+    // What crashes it later counts anew.
+    let added = crash_once(&mut ledger, NOW + 400, request(1), replica(9), 9);
+    assert_eq!(added, Some(1));
+}
