--- a/src/gateway/crash_ledger.rs
+++ b/src/gateway/crash_ledger.rs
@@ -37,8 +37,9 @@
 const MAX_HISTORIES: usize = 8_192;
 
 /// Crashes under one request as its caller sent it, over all its attempts and reroutes. A request
-/// that meets a failure of several replicas at once loses attempts at them one after the other, so that
-/// crashes in quick succession count once, unless the same request met crashes before it was resent.
+/// that meets a failure of several replicas at once loses attempts at them one after the other, so
+/// that crashes in quick succession count once, unless the same request met crashes before it was
+/// resent.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CrashSeries {
     crashes: usize,
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -86,8 +86,8 @@
     }
 }
 
-/// Sends all known peers this gateway's load at its upstreams and on links, the deaths and slowdowns
-/// that replicas reported to it, and the replicas that crashed under requests.
+/// Sends all known peers this gateway's load at its upstreams and on links, the deaths and
+/// slowdowns that replicas reported to it, and the replicas that crashed under requests.
 async fn broadcast(gateway: &Gateway, socket: &UdpSocket, incarnation: u64) {
     let now = gateway.clock.now();
     let (messages, peers) = {
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -124,7 +124,8 @@
 }
 
 impl UpstreamConnection {
-    /// Sends a request and waits for the response head. The connection carries one request at a time.
+    /// Sends a request and waits for the response head. The connection carries one request at a
+    /// time.
     ///
     /// # Errors
     ///
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -273,8 +273,8 @@
     ids: HashMap<String, UpstreamKey>,
     /// The incarnation that registered last at each address.
     addresses: HashMap<SocketAddr, UpstreamKey>,
-    /// Start of the incarnation that is known to be leaving, by id of the upstream, for entries that
-    /// are read later.
+    /// Start of the incarnation that is known to be leaving, by id of the upstream, for entries
+    /// that are read later.
     leaving: HashMap<String, u64>,
     version: u64,
 }
@@ -577,8 +577,8 @@
         self.mark_draining(key)
     }
 
-    /// Bars the incarnation of an upstream that started at `born`, since it is leaving, whether or not
-    /// its registry entry is known yet. Returns whether it was known and not draining before.
+    /// Bars the incarnation of an upstream that started at `born`, since it is leaving, whether or
+    /// not its registry entry is known yet. Returns whether it was known and not draining before.
     pub fn bar_incarnation(&mut self, id: &str, born: u64) -> bool {
         self.leaving.insert(id.to_owned(), born);
         let key = self.ids.get(id).copied();
--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -67,8 +67,8 @@
     /// streams that have it as a later hop stall. Reports and orders are still answered.
     pub dead: bool,
     /// Whether a request has crashed the replica and it is not back yet: it closes its connections
-    /// without an answer and accepts none, and its registry entry is not updated. Streams over it that are not moved
-    /// to another chain by then break off when it is back.
+    /// without an answer and accepts none, and its registry entry is not updated. Streams over it
+    /// that are not moved to another chain by then break off when it is back.
     pub crashed: bool,
     /// Fault in force, for a plain service.
     pub fault: ReplicaFault,
@@ -152,8 +152,8 @@
 }
 
 /// Removes a stream from the table when its response body is dropped: at its end, or when the
-/// caller disconnects. Has no effect once the same request has started another stream, the number of
-/// which is higher.
+/// caller disconnects. Has no effect once the same request has started another stream, the number
+/// of which is higher.
 struct StreamGuard(ReplicaTable, String, usize);
 
 impl Drop for StreamGuard {
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -35,8 +35,8 @@
 const MAX_CRASHES: usize = 3;
 /// Replicas that the request may reach after that. It is the users' bound.
 const MAX_LATE_RETRIES: usize = 3;
-/// Time that gateways have to tell each other, in milliseconds. The bound does not hold for it after
-/// a fault of a gateway or of the store either.
+/// Time that gateways have to tell each other, in milliseconds. The bound does not hold for it
+/// after a fault of a gateway or of the store either.
 const CONTACT_MS: u64 = 4_000;
 /// Time after the start of a gateway until its signal handlers are installed, in milliseconds. An
 /// earlier SIGHUP would end the process.
--- a/standins/tests/crashing.rs
+++ b/standins/tests/crashing.rs
@@ -12,8 +12,8 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Replicas that the request may reach after that time.
 const MAX_LATE_RETRIES: usize = 3;
-/// The request as sent first may lose three replicas, which may have failed together, and counts once
-/// then; as resent, it counts for each.
+/// The request as sent first may lose three replicas, which may have failed together, and counts
+/// once then; as resent, it counts for each.
 const MAX_CRASHES_IN_ALL: usize = 2 * MAX_CRASHES - 1;
 /// Time in which gateways tell each other of a crash.
 const NOTICE_TIME: Duration = Duration::from_millis(600);
--- a/standins/tests/flood.rs
+++ b/standins/tests/flood.rs
@@ -1,5 +1,5 @@
-//! Replicas that send bytes without an end in place of answers: the gateway stays within its memory,
-//! closes their connections, and serves the callers beside.
+//! Replicas that send bytes without an end in place of answers: the gateway stays within its
+//! memory, closes their connections, and serves the callers beside.
 
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -14,8 +14,8 @@
 const CALLERS: usize = 120;
 /// Streams at the same time, for which the chains have room.
 const STREAMS: usize = 40;
-/// Time within which a lookup is answered although its first attempt meets a flood: a fraction of the
-/// 10 s of its route, since what can be served elsewhere must not wait for that.
+/// Time within which a lookup is answered although its first attempt meets a flood: a fraction of
+/// the 10 s of its route, since what can be served elsewhere must not wait for that.
 const LOOKUP_LIMIT: Duration = Duration::from_secs(5);
 /// Longest pause between two events that callers accept.
 const MAX_CALLER_WAIT: Duration = Duration::from_secs(2);
--- a/standins/tests/gateway.rs
+++ b/standins/tests/gateway.rs
@@ -628,8 +628,8 @@
     check_leaving_over_restart("gateway-leaving-restore", true).await;
 }
 
-/// Restarts all gateways after one heard that a replica is leaving; before, if `restored` is set, the
-/// store goes back to a copy from before that.
+/// Restarts all gateways after one heard that a replica is leaving; before, if `restored` is set,
+/// the store goes back to a copy from before that.
 async fn check_leaving_over_restart(name: &str, restored: bool) {
     let mut site = start_site(name, 2).await;
     let copy = site.store.copy();
