Let the peers write a notice whose observer did not live to write it

Cause: found by looking at how faults overlap: a gateway hears that a replica leaves while the store is out, and is killed before the store is back. Its peers know, but only the observer wrote.

Change: each gateway knows which notices are in the store and writes those that are missing of what it knows, at a random time within 4 to 8 s, so that one of several does. A quarantine is not renewed in its second half. No notice for an upstream whose start is unknown, which would bar the next incarnation as well.

On the code before, the new one fails: 1 request reached the replica.

--- a/src/gateway/crash_ledger.rs
+++ b/src/gateway/crash_ledger.rs
@@ -199,11 +199,23 @@
         !std::mem::replace(&mut history.quarantined, true)
     }
 
-    /// The quarantined requests for which this gateway observed a crash itself.
-    pub fn quarantined_here(&self) -> impl Iterator<Item = RequestFingerprint> + '_ {
+    /// The requests that are quarantined for `remaining_ms` milliseconds more at least.
+    pub fn quarantined(
+        &self,
+        now: ClockTime,
+        remaining_ms: u64,
+    ) -> impl Iterator<Item = RequestFingerprint> + '_ {
         let histories = self.histories.iter();
-        let here = histories.filter(|(_, history)| history.quarantined && history.observed_here);
-        here.map(|(fingerprint, _)| *fingerprint)
+        let quarantined = histories.filter(move |(_, history)| {
+            history.quarantined && history.expires_at >= now + remaining_ms
+        });
+        quarantined.map(|(fingerprint, _)| *fingerprint)
+    }
+
+    /// Whether this gateway observed any of the crashes under a request itself.
+    pub fn observed_here(&self, fingerprint: RequestFingerprint) -> bool {
+        let history = self.histories.get(&fingerprint);
+        history.is_some_and(|history| history.observed_here)
     }
 
     /// Merges a peer's report. Returns the request if it is quarantined because of this report.
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::clock::ClockTime;
 use crate::fingerprint::RequestFingerprint;
@@ -11,7 +12,7 @@
 use crate::gateway::run::Gateway;
 use crate::gateway::state::GatewayState;
 use crate::gateway::sync::{StoreStatus, REGISTRY_WATCH_MS};
-use crate::gateway::upstream::UpstreamKey;
+use crate::gateway::upstream::{UpstreamEntry, UpstreamKey};
 use crate::platform::kv::{KvStore, StoreChange, WatchOutcome};
 use crate::platform::notice::{decode_notice, encode_notice};
 use crate::platform::NOTICE_PREFIX;
@@ -23,6 +24,9 @@
 const NOTICE_LEASE_S: i64 = 600;
 /// Upper bound of the notices in one write.
 const MAX_NOTICES_PER_WRITE: usize = 32;
+/// Shortest interval of the checks whether the store has all notices that this gateway knows,
+/// milliseconds. It is drawn at random, so that one of several gateways writes what is missing.
+const MIN_CHECK_MS: u64 = 4_000;
 /// Upper bound of the notices that wait for the store; later ones are told to the peers only.
 const MAX_UNWRITTEN: usize = 1_024;
 
@@ -40,19 +44,22 @@
     Quarantine(RequestFingerprint),
 }
 
-/// Notices of this gateway that are not in the store yet.
+/// Notices that are not in the store yet, and those that are.
 #[derive(Clone, Debug, Default)]
 pub struct NoticeQueue {
     unwritten: Vec<KeptNotice>,
+    stored: HashSet<KeptNotice>,
 }
 
 impl NoticeQueue {
-    /// Adds a notice, unless it waits already or the queue is full.
+    /// Adds a notice, unless it is in the store, waits already, or the queue is full.
     pub fn add(&mut self, notice: KeptNotice) {
-        if self.unwritten.len() >= MAX_UNWRITTEN {
-            spdlog::warn!("event=notice_not_kept notice={notice:?} reason=full");
-        } else if !self.unwritten.contains(&notice) {
-            self.unwritten.push(notice);
+        if self.stored.contains(&notice) || self.unwritten.contains(&notice) {
+            return;
+        }
+        match self.unwritten.len() < MAX_UNWRITTEN {
+            true => self.unwritten.push(notice),
+            false => spdlog::warn!("event=notice_not_kept notice={notice:?} reason=full"),
         }
     }
 
@@ -61,9 +68,15 @@
         &self.unwritten[..self.unwritten.len().min(MAX_NOTICES_PER_WRITE)]
     }
 
-    /// Removes notices that were written.
-    pub fn remove(&mut self, written: &[KeptNotice]) {
-        self.unwritten.retain(|notice| !written.contains(notice));
+    /// Records that a notice is in the store.
+    pub fn record_stored(&mut self, notice: KeptNotice) {
+        self.unwritten.retain(|unwritten| *unwritten != notice);
+        self.stored.insert(notice);
+    }
+
+    /// Forgets which notices are in the store, before all of them are read.
+    pub fn forget_stored(&mut self) {
+        self.stored.clear();
     }
 }
 
@@ -73,11 +86,10 @@
     let mut state = gateway.state();
     if state.upstreams.mark_leaving(key) {
         let entry = &state.upstreams.get(key).entry;
-        let (id, born) = (entry.id.clone(), entry.born);
-        state.notices.add(KeptNotice::Leaving {
-            id: id.clone(),
-            born,
-        });
+        let (id, notice) = (entry.id.clone(), leaving_notice(entry));
+        notice
+            .into_iter()
+            .for_each(|notice| state.notices.add(notice));
         drop(state);
         gateway.peer_update.notify_one();
         gateway.notice_update.notify_one();
@@ -124,19 +136,54 @@
     gateway.notice_update.notify_one();
 }
 
-/// Writes this gateway's notices to the store as they arise.
+/// Queues what the store lacks, as after a restore from an older copy, of what this gateway observed
+/// or, if `observed_only` is not set, knows at all: whoever observed it may not live to write it.
+fn add_missing(now: ClockTime, state: &mut GatewayState, observed_only: bool) {
+    let leaving = state.upstreams.iter();
+    let leaving = leaving
+        .filter(|(_, record)| record.said_leaving || (record.told_leaving && !observed_only));
+    for notice in leaving.filter_map(|(_, record)| leaving_notice(&record.entry)) {
+        state.notices.add(notice);
+    }
+    // Near its end a notice is not written again, which would renew the quarantine for ever.
+    for fingerprint in state.crashes.quarantined(now, QUARANTINE_MS / 2) {
+        if !observed_only || state.crashes.observed_here(fingerprint) {
+            state.notices.add(KeptNotice::Quarantine(fingerprint));
+        }
+    }
+}
+
+/// The notice that an upstream is leaving. `None` if its start is unknown, since the notice would also
+/// bar the next incarnation.
+fn leaving_notice(entry: &UpstreamEntry) -> Option<KeptNotice> {
+    (entry.born != 0).then(|| KeptNotice::Leaving {
+        id: entry.id.clone(),
+        born: entry.born,
+    })
+}
+
+/// Writes notices to the store as they arise.
 pub(super) async fn write_notices(gateway: Arc<Gateway>, store: KvStore) {
     let mut status = StoreStatus::new("notices");
     loop {
         let notices = gateway.state().notices.next_write().to_vec();
         if notices.is_empty() {
-            gateway.notice_update.notified().await;
+            let pause_ms = rand::random_range(MIN_CHECK_MS..2 * MIN_CHECK_MS);
+            let pause = tokio::time::sleep(Duration::from_millis(pause_ms));
+            tokio::select! {
+                () = gateway.notice_update.notified() => {}
+                () = pause => add_missing(gateway.clock.now(), &mut gateway.state(), false),
+            }
             continue;
         }
         match write(&store, &notices).await {
             Ok(()) => {
                 status.recover();
-                gateway.state().notices.remove(&notices);
+                spdlog::info!("event=notices_written notices={}", notices.len());
+                let queue = &mut gateway.state().notices;
+                notices
+                    .into_iter()
+                    .for_each(|notice| queue.record_stored(notice));
             }
             Err(error) => status.back_off(gateway.clock.now(), &error).await,
         }
@@ -210,12 +257,8 @@
     }
 }
 
-/// Applies a notice. Returns `None` if it cannot be decoded.
-fn apply_notice(
-    now: ClockTime,
-    state: &mut GatewayState,
-    item: &PlatformItem,
-) -> Option<KeptNotice> {
+/// Applies a notice in the store.
+fn apply_notice(now: ClockTime, state: &mut GatewayState, item: &PlatformItem) {
     let notice = match decode_notice(item) {
         Ok(notice) => notice,
         Err(error) => {
@@ -223,7 +266,7 @@
                 "event=notice_decode_failed key={} error=\"{error:#}\"",
                 item.key
             );
-            return None;
+            return;
         }
     };
     match &notice {
@@ -238,11 +281,10 @@
             }
         }
     }
-    Some(notice)
+    state.notices.record_stored(notice);
 }
 
-/// Applies the notices in the store, and writes those of this gateway again that it lacks, as after
-/// a restore from an older copy. Returns the position that was read.
+/// Applies the notices in the store. Returns the position that was read.
 ///
 /// # Errors
 ///
@@ -265,22 +307,11 @@
     let now = gateway.clock.now();
     let state = &mut *gateway.state();
     state.upstreams.forget_barred_incarnations();
-    let stored = items
-        .iter()
-        .filter_map(|item| apply_notice(now, state, item));
-    let stored: HashSet<KeptNotice> = stored.collect();
-    let leaving = state.upstreams.iter();
-    let leaving = leaving.filter(|(_, record)| record.said_leaving);
-    let leaving = leaving.map(|(_, record)| KeptNotice::Leaving {
-        id: record.entry.id.clone(),
-        born: record.entry.born,
-    });
-    let quarantined = state.crashes.quarantined_here();
-    for notice in leaving.chain(quarantined.map(KeptNotice::Quarantine)) {
-        if !stored.contains(&notice) {
-            state.notices.add(notice);
-        }
+    state.notices.forget_stored();
+    for item in &items {
+        apply_notice(now, state, item);
     }
+    add_missing(now, state, true);
     gateway.notice_update.notify_one();
     Ok(position)
 }
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -156,11 +156,7 @@
         if let Some(fingerprint) = state.crashes.apply_report(now, report) {
             spdlog::warn!("event=request_quarantined fingerprint={fingerprint} peer={from}");
             // No gateway may have seen the last crash after it had heard of the others.
-            if state
-                .crashes
-                .quarantined_here()
-                .any(|here| here == fingerprint)
-            {
+            if state.crashes.observed_here(fingerprint) {
                 state.notices.add(KeptNotice::Quarantine(fingerprint));
                 gateway.notice_update.notify_one();
             }
@@ -186,7 +182,7 @@
                 }
             }
             PeerReport::Leaving(key) => {
-                if state.upstreams.mark_draining(key) {
+                if state.upstreams.mark_told_leaving(key) {
                     let id = &state.upstreams.get(key).entry.id;
                     spdlog::info!("event=upstream_leaving id={id} peer={from}");
                 }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -146,6 +146,8 @@
     refusals: u32,
     /// Whether the upstream has said in an answer to this gateway that it is leaving.
     pub said_leaving: bool,
+    /// Whether a peer has told that the upstream said so to the peer.
+    pub told_leaving: bool,
     /// End of the time for which the upstream itself asked to be left alone.
     rest_until: ClockTime,
     /// Newest report to this gateway or to a peer that the upstream is dead. `None` if there was
@@ -362,6 +364,7 @@
             last_refusal: ClockTime::default(),
             refusals: 0,
             said_leaving: false,
+            told_leaving: false,
             rest_until: now,
             death_report: None,
             unanswered_since: None,
@@ -577,6 +580,13 @@
         self.mark_draining(key)
     }
 
+    /// Marks the upstream as draining because a peer told that it is leaving. Returns whether it was
+    /// not draining before.
+    pub fn mark_told_leaving(&mut self, key: UpstreamKey) -> bool {
+        self.records[key.0 as usize].told_leaving = true;
+        self.mark_draining(key)
+    }
+
     /// Bars the incarnation of an upstream that started at `born`, since it is leaving, whether or
     /// not its registry entry is known yet. Returns whether it was known and not draining before.
     pub fn bar_incarnation(&mut self, id: &str, born: u64) -> bool {
--- a/standins/tests/gateway.rs
+++ b/standins/tests/gateway.rs
@@ -791,3 +791,23 @@
     assert_eq!(answer.expect("the gateway should respond").status, 503);
     assert_eq!(site.run_count("q"), 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn notice_of_a_gateway_that_died_before_it_could_write_is_written_by_its_peers() {
+    let mut site = start_site("gateway-notice-peers", 2).await;
+    let leaving = site.plain_addresses[0];
+    site.store.set_outage(true);
+    site.replicas.change(leaving, |state| state.leaving = true);
+    assert_eq!(count_arrivals(&site, 0, leaving).await, 1);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let process = &mut site.gateways[0].process;
+    process.kill().expect("the gateway should be killed");
+    site.store.set_outage(false);
+    // Twice the shortest interval at which gateways check what the store lacks, and the write.
+    tokio::time::sleep(Duration::from_secs(9)).await;
+    site.restart_gateway(0).expect("the gateway should restart");
+    site.wait_until_ready(0, true)
+        .await
+        .expect("the gateway should become ready");
+    assert_eq!(count_arrivals(&site, 0, leaving).await, 0);
+}
