Check in the soak that no gateway forgets that a replica is leaving

Change: a replica that leaves does so for 2 to 8 s; no request may reach it from a gateway later than 2 s after that gateway passed its word on, whatever happened to the gateway.

--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -96,6 +96,8 @@
     pub chain: String,
     /// Request body.
     pub body: String,
+    /// Incarnation of the replica if it says in its answers that it is leaving.
+    pub leaving: Option<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -377,6 +379,7 @@
 
     fn record_run(&self, address: SocketAddr, headers: &HeaderMap, body: &Bytes) {
         self.change(address, |state| state.arrivals += 1);
+        let state = self.state(address);
         self.data().runs.push(RunRecord {
             request_id: header_value(headers, "x-attempt-id").to_owned(),
             replica: address,
@@ -384,6 +387,7 @@
             has_api_key: headers.contains_key("x-api-key"),
             chain: header_value(headers, "x-hops").to_owned(),
             body: String::from_utf8_lossy(body).into_owned(),
+            leaving: state.leaving.then_some(state.incarnation),
         });
     }
 
