--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -308,6 +308,25 @@
         Ok(())
     }
 
+    /// Kills all gateways, so that nothing is left that they knew, restarts them and waits until they
+    /// are ready.
+    ///
+    /// # Errors
+    ///
+    /// If a process cannot be killed or started, or is not ready in time.
+    pub async fn restart_all_gateways(&mut self) -> eyre::Result<()> {
+        for gateway in &mut self.gateways {
+            gateway.process.kill()?;
+        }
+        for number in 0..self.gateways.len() {
+            self.restart_gateway(number)?;
+        }
+        for number in 0..self.gateways.len() {
+            self.wait_until_ready(number, true).await?;
+        }
+        Ok(())
+    }
+
     /// Publishes a newer configuration that accepts only these API keys.
     pub fn set_api_keys(&mut self, keys: &[&str]) {
         self.api_keys = keys.iter().map(|key| (*key).to_owned()).collect();
--- a/standins/tests/crashing.rs
+++ b/standins/tests/crashing.rs
@@ -118,17 +118,9 @@
     let mut site = start_site("crashing-restart", 2).await;
     let request = crashing(SiteRequest::lookup("p"), CRASHES_FIRST);
     send_rounds(&site, 6, &request).await;
-    for gateway in 0..2 {
-        let process = &mut site.gateways[gateway].process;
-        process.kill().expect("the gateway should be killed");
-    }
-    for gateway in 0..2 {
-        site.restart_gateway(gateway)
-            .expect("the gateway should restart");
-        site.wait_until_ready(gateway, true)
-            .await
-            .expect("the gateway should become ready");
-    }
+    site.restart_all_gateways()
+        .await
+        .expect("the gateways should restart");
     let before = site.replicas.crashes().len();
     let request = SiteRequest {
         id: "again".to_owned(),
--- a/standins/tests/gateway.rs
+++ b/standins/tests/gateway.rs
@@ -641,17 +641,9 @@
         site.store.restore(copy);
         tokio::time::sleep(Duration::from_secs(2)).await;
     }
-    for gateway in 0..2 {
-        let process = &mut site.gateways[gateway].process;
-        process.kill().expect("the gateway should be killed");
-    }
-    for gateway in 0..2 {
-        site.restart_gateway(gateway)
-            .expect("the gateway should restart");
-        site.wait_until_ready(gateway, true)
-            .await
-            .expect("the gateway should become ready");
-    }
+    site.restart_all_gateways()
+        .await
+        .expect("the gateways should restart");
     for gateway in 0..2 {
         assert_eq!(count_arrivals(&site, gateway, leaving).await, 0);
     }
