--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -155,7 +155,8 @@
     for report in &load.crashes {
         if let Some(fingerprint) = state.crashes.apply_report(now, report) {
             spdlog::warn!("event=request_quarantined fingerprint={fingerprint} peer={from}");
-            // No gateway may have seen the last crash after it had heard of the others.
+            // Where gateways see crashes at the same time, none of them records the last one: it
+            // is known only once their reports are merged.
             if state.crashes.observed_here(fingerprint) {
                 state.notices.add(KeptNotice::Quarantine(fingerprint));
                 gateway.notice_update.notify_one();
