--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -114,9 +114,10 @@
     drop(state);
     let crashes = added.map_or_else(|| "uncounted".to_owned(), |crashes| crashes.to_string());
     spdlog::info!(
-        "event=crash_under_request request={} fingerprint={} upstream={id} crashes={crashes}",
+        "event=crash_under_request request={} fingerprint={} upstream={id} crashes={crashes} parts={}",
         context.meta.id,
         context.fingerprint,
+        part_ids(&context.meta.shared_parts),
     );
     if added.is_some_and(|crashes| crashes >= MAX_CRASHES) {
         spdlog::warn!(
@@ -129,6 +130,11 @@
     }
 }
 
+fn part_ids(parts: &[u128]) -> String {
+    let ids = parts.iter().map(|part| format!("{part:x}"));
+    ids.collect::<Vec<_>>().join(",")
+}
+
 /// Has the store keep that a request is refused.
 pub(super) fn keep_quarantine(gateway: &Gateway, fingerprint: RequestFingerprint) {
     let notice = KeptNotice::Quarantine(fingerprint);
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -18,6 +18,7 @@
 const DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
 const API_KEY: HeaderName = HeaderName::from_static("x-api-key");
 const TENANT: HeaderName = HeaderName::from_static("x-tenant");
+const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-prompt-prefix");
 const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-token-count");
 const LENGTH_HINT: HeaderName = HeaderName::from_static("x-length-hint");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
@@ -51,6 +52,24 @@
     /// Id of the event after which a stream is to be resumed; `None` if it starts from the
     /// beginning.
     pub last_event_id: Option<u64>,
+    /// Ids of the parts of the prompt that other requests may share, at most
+    /// [`MAX_PROMPT_PARTS`]: all but the last, which is the request's own.
+    pub shared_parts: Vec<u128>,
+}
+
+/// Upper bound of the shared parts of a prompt that are told apart.
+pub const MAX_PROMPT_PARTS: usize = 32;
+
+/// Parses the ids of the shared parts out of a list of `ID:TOKENS`. Ids that are not hexadecimal
+/// numbers of at most 32 digits are left out.
+fn shared_parts(list: &str) -> Vec<u128> {
+    let mut parts: Vec<&str> = list.split(',').collect();
+    parts.pop();
+    let ids = parts.into_iter().filter_map(|part| {
+        let id = part.split_once(':').map_or(part, |(id, _)| id).trim();
+        u128::from_str_radix(id, 16).ok()
+    });
+    ids.take(MAX_PROMPT_PARTS).collect()
 }
 
 /// Returns the trimmed value of a header; empty if it is absent or not text.
@@ -74,6 +93,7 @@
         max_answer_tokens: answer.trim().parse().unwrap_or(0),
         answer_hint: header_text(headers, &LENGTH_HINT).parse().ok(),
         last_event_id: header_text(headers, &LAST_EVENT_ID).parse().ok(),
+        shared_parts: shared_parts(header_text(headers, &PROMPT_PREFIX)),
     }
 }
 
--- a/tests/gateway/adapter.rs
+++ b/tests/gateway/adapter.rs
@@ -33,6 +33,49 @@
  "limits":{"max_body_bytes":1000,"idle_timeout_ms":9000},
  "tenants":[{"name":"t","api_keys":["k"],"priority":3}]}"#;
 
+#[test]
+fn own_part_of_a_prompt_is_not_taken_for_a_shared_one() {
+    struct Case {
+        prefix: &'static str,
+        shared: &'static [u128],
+    }
+    let cases = [
+        Case {
+            prefix: "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+            shared: &[0x5c1e_07a2, 0x91bd_3f06],
+        },
+        Case {
+            prefix: " 0A:1, 0b :2,x:3,:4,c:5",
+            shared: &[0xa, 0xb],
+        },
+        Case {
+            prefix: "5c1e07a2:800",
+            shared: &[],
+        },
+        Case {
+            prefix: "",
+            shared: &[],
+        },
+    ];
+    for case in cases {
+        let mut headers = HeaderMap::new();
+        headers.insert("x-prompt-prefix", case.prefix.parse().unwrap());
+        assert_eq!(
+            request_meta(&headers).shared_parts,
+            case.shared,
+            "{}",
+            case.prefix
+        );
+    }
+    let mut headers = HeaderMap::new();
+    let many: Vec<String> = (1..500).map(|part| format!("{part:x}:1")).collect();
+    headers.insert("x-prompt-prefix", many.join(",").parse().unwrap());
+    assert_eq!(
+        request_meta(&headers).shared_parts.len(),
+        lynxcart::platform::headers::MAX_PROMPT_PARTS
+    );
+}
+
 #[test]
 fn configuration_is_decoded_completely() {
     let config = decode_config(CONFIG.as_bytes()).unwrap();
