--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -35,6 +35,17 @@
 /// Body of a stream that crashes the last replica of its chain, also of one to which it is moved.
 pub const CRASHES_LAST: &str = "crashes the last replica";
 
+/// Part of a prompt that crashes the first replica of a chain once it has written an event on it.
+pub const CRASHING_PART: &str = "bad0";
+/// Time from the first event of such an answer to the crash, in milliseconds.
+const PART_CRASH_MS: u64 = 60;
+
+/// Whether the prompt of a request has the part that crashes replicas.
+fn has_crashing_part(headers: &HeaderMap) -> bool {
+    let mut parts = header_value(headers, "x-prompt-prefix").split(',');
+    parts.any(|part| part.split(':').next() == Some(CRASHING_PART))
+}
+
 /// Fault of a plain service, switched at run time with [`ReplicaTable::change`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ReplicaFault {
@@ -456,6 +467,17 @@
             }
             _ => {}
         }
+        if has_crashing_part(headers) {
+            let table = self.clone();
+            let incarnation = self.state(address).incarnation;
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(EVENT_INTERVAL_MS + PART_CRASH_MS)).await;
+                let state = table.state(address);
+                if !state.crashed && state.incarnation == incarnation {
+                    table.crash(address);
+                }
+            });
+        }
         let number = {
             let mut data = self.data();
             data.chains.insert(id.clone(), chain);
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -77,6 +77,9 @@
     pub event_count: u64,
     /// Request body; a text that names the request if it is empty.
     pub body: &'static str,
+    /// Ids of the parts of the prompt that other requests share, separated by commas; the request's
+    /// own part is added. Empty for a prompt whose parts are not stated.
+    pub shared_parts: &'static str,
 }
 
 impl SiteRequest {
@@ -88,6 +91,7 @@
             api_key: API_KEY,
             event_count,
             body: "",
+            shared_parts: "",
         }
     }
 
@@ -100,6 +104,7 @@
             api_key: API_KEY,
             event_count: 0,
             body: "",
+            shared_parts: "",
         }
     }
 
@@ -429,15 +434,21 @@
         "" => format!("body of {}", request.id),
         body => body.to_owned(),
     };
-    let http_request = Request::post(format!("http://{address}{}", request.path))
+    let mut http_request = Request::post(format!("http://{address}{}", request.path))
         .header("host", "site.example")
         .header("x-attempt-id", &request.id)
         .header("x-api-key", request.api_key)
         .header("x-tenant", "forged")
         .header("x-deadline-ms", DEADLINE_MS.to_string())
-        .header("x-token-count", format!("20,{}", request.event_count))
-        .body(Full::from(body))?;
-    Ok(client.request(http_request).await?)
+        .header("x-token-count", format!("20,{}", request.event_count));
+    if !request.shared_parts.is_empty() {
+        let own_part = blake3::hash(request.id.as_bytes()).to_hex();
+        let shared = request.shared_parts.split(',');
+        let parts = shared.map(|part| format!("{part}:5"));
+        let prefix = parts.chain([format!("{}:5", &own_part[..8])]);
+        http_request = http_request.header("x-prompt-prefix", prefix.collect::<Vec<_>>().join(","));
+    }
+    Ok(client.request(http_request.body(Full::from(body))?).await?)
 }
 
 /// Reads the whole body of a response.
