Count crashes of replicas for the shared parts of prompts

Callers saw: model requests refused or broken off for half a minute at a time.

Cause: crashes were counted for a fingerprint with the body. Requests that share only a part of their prompts never reached the count, while bystanders that were retried beside them did and were refused for ten minutes.

Ruled out: late reports and successions. Crash after crash had other fingerprints at all gateways; with the parts in the log each has the one part in common.

Change: PartLedger counts crashes for each shared part of a prompt, at all gateways together. An answer that goes on for 0.5 s, or ends, is a proof of its parts and clears them of the crashes before it began. Three crashes under more than one request quarantine the part that has gone longest without a proof, which then explains these crashes for all other parts and for the fingerprints of bystanders. After four seconds one request is let through, by one gateway after the other: its answer clears the part, its crash refuses it for ten minutes. A caller that leaves before the crash leaves its parts behind. Parts that were proved in the last minute, and gateways that have just started, need crashes on three occasions, so that a mass loss blames nobody.

Why it works: every run with the part ends in a crash, so that it never gets a proof, whereas each sound part gets one from the first answer that survives anywhere; gateways merge crashes and proofs.

--- a/src/gateway/crash_ledger.rs
+++ b/src/gateway/crash_ledger.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::ClockTime;
 use crate::fingerprint::RequestFingerprint;
+use crate::gateway::part_ledger::ReplicaEnd;
 use crate::wire::gen::{ReplicaCrash, RequestCrashes};
 
 /// Number of crashes at which a request is quarantined.
@@ -22,7 +23,7 @@
 const COMPLETION_RETENTION_MS: u64 = 5_000;
 /// Crashes of one replica that gateways observe less than this apart are the same, milliseconds. A
 /// replica takes longer to start again.
-const SAME_CRASH_MS: u64 = 1_000;
+pub(super) const SAME_CRASH_MS: u64 = 1_000;
 /// Crashes under one request that follow each other within this time are taken for one failure of
 /// several replicas, milliseconds.
 const SUCCESSION_MS: u64 = 1_000;
@@ -172,6 +173,28 @@
         }
     }
 
+    /// Forgets crashes whose cause was found in the prompts of other requests. What is not
+    /// quarantined without them counts as completed.
+    pub fn forgive(&mut self, now: ClockTime, ends: &[ReplicaEnd]) {
+        for history in self.histories.values_mut() {
+            let before = history.crashes.len();
+            history.crashes.retain(|crash| {
+                let (replica, at) = (crash.replica, crash.at);
+                !ends
+                    .iter()
+                    .any(|end| end.is_same(ReplicaEnd { replica, at }))
+            });
+            let is_changed = history.crashes.len() < before;
+            if is_changed && (history.quarantined || history.crashes.is_empty()) {
+                *history = CrashHistory {
+                    expires_at: now + COMPLETION_RETENTION_MS,
+                    reports_left: REPORT_REPEATS,
+                    ..CrashHistory::default()
+                };
+            }
+        }
+    }
+
     /// Remaining time for which a request is refused, milliseconds; `None` if it may be sent.
     pub fn quarantine_ms(&self, now: ClockTime, fingerprint: RequestFingerprint) -> Option<u64> {
         let history = self.histories.get(&fingerprint)?;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -3,6 +3,7 @@
 //!
 //! [`GatewayState`]: crate::gateway::state::GatewayState
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use crate::gateway::attempt_ledger::{AttemptFailure, AttemptLedger, NextStep};
 use crate::gateway::catalog::WorkKind;
 use crate::gateway::crash_ledger::CrashSeries;
+use crate::gateway::part_ledger::{PartVerdict, PromptPart, SuspectRun};
 use crate::gateway::relay;
 use crate::gateway::response::{collect_response, record_response, refuse, GatewayBody};
 use crate::gateway::run::Gateway;
@@ -55,8 +57,12 @@
     pub admitted: AdmittedRequest,
     /// Identifies the request when its caller sends it again.
     pub fingerprint: RequestFingerprint,
+    /// What the request is to a replica that crashes under it.
+    pub suspect: SuspectRun,
     /// Replicas that crashed while they ran the request.
     crash_series: Mutex<CrashSeries>,
+    /// Whether the request tries a quarantined part of its prompt again.
+    is_probe: AtomicBool,
     /// When the request line and headers were received.
     pub received_at: ClockTime,
     _in_flight: InFlightGuard,
@@ -69,11 +75,45 @@
         series.unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether the request must not be sent to any replica, since several crashed under it or under
-    /// one that is the same.
+    /// Whether the request must not be sent to any replica, since several crashed under it, under
+    /// one that is the same, or under others with a part of its prompt.
     pub(super) fn is_barred(&self, now: ClockTime, state: &GatewayState) -> bool {
-        let quarantine_ms = state.crashes.quarantine_ms(now, self.fingerprint);
-        quarantine_ms.is_some() || self.crash_series().is_exhausted()
+        self.bar_ms(now, state).is_some() || self.part_verdict(now, state) != PartVerdict::Open
+    }
+
+    /// How long the request must not be sent to any replica, milliseconds; `None` if it may be sent
+    /// or may try a part of its prompt again.
+    fn bar_ms(&self, now: ClockTime, state: &GatewayState) -> Option<u64> {
+        if let Some(remaining_ms) = state.crashes.quarantine_ms(now, self.fingerprint) {
+            return Some(remaining_ms);
+        }
+        if let PartVerdict::Barred(remaining_ms) = self.part_verdict(now, state) {
+            return Some(remaining_ms.max(FAILED_RETRY_AFTER_MS));
+        }
+        let is_exhausted = self.crash_series().is_exhausted();
+        is_exhausted.then_some(FAILED_RETRY_AFTER_MS)
+    }
+
+    fn part_verdict(&self, now: ClockTime, state: &GatewayState) -> PartVerdict {
+        match self.is_probe.load(Ordering::Relaxed) {
+            true => PartVerdict::Open,
+            false => state.parts.verdict(now, &self.suspect.parts),
+        }
+    }
+
+    /// Begins to try a quarantined part of the prompt again, if the request may be sent for that
+    /// only.
+    fn begin_probe(&self, now: ClockTime, state: &mut GatewayState) {
+        if self.part_verdict(now, state) == PartVerdict::Probe {
+            state.parts.begin_probe(now, &self.suspect.parts);
+            self.is_probe.store(true, Ordering::Relaxed);
+            spdlog::info!("event=prompt_part_probed request={}", self.meta.id);
+        }
+    }
+
+    /// Ends the trial of a part, after which the request is sent again only if the part may be.
+    pub(super) fn end_probe(&self) {
+        self.is_probe.store(false, Ordering::Relaxed);
     }
 }
 
@@ -139,9 +179,14 @@
             return refuse(gateway, &meta.id, received_at, &refusal);
         }
     };
+    let fingerprint = fingerprint(&admitted, &parts, &body);
+    let shared_parts = meta.shared_parts.iter();
+    let shared_parts = shared_parts.map(|id| PromptPart::new(&admitted.service, *id));
     let context = RequestContext {
-        fingerprint: fingerprint(&admitted, &parts, &body),
+        fingerprint,
+        suspect: SuspectRun::new(fingerprint, shared_parts.collect()),
         crash_series: Mutex::default(),
+        is_probe: AtomicBool::new(false),
         parts,
         body,
         meta,
@@ -304,11 +349,10 @@
             if now >= admitted.deadline {
                 let detail = "the deadline passed before the request could be sent";
                 RequestRefusal::not_run(RefusalReason::Deadline, detail)
-            } else if context.is_barred(now, &state) {
-                let remaining_ms = state.crashes.quarantine_ms(now, context.fingerprint);
-                let detail = "replicas crashed while they ran this request";
+            } else if let Some(remaining_ms) = context.bar_ms(now, &state) {
+                let detail = "replicas crashed while they ran this request or others like it";
                 RequestRefusal::not_run(RefusalReason::Quarantined, detail)
-                    .retry_after(remaining_ms.unwrap_or(FAILED_RETRY_AFTER_MS))
+                    .retry_after(remaining_ms)
             } else if !state.may_still_send(now, admitted) {
                 RequestRefusal::not_run(
                     RefusalReason::PlatformOutage,
@@ -323,6 +367,7 @@
                             let detail = "the budget of repeats is used up";
                             RequestRefusal::not_run(RefusalReason::Busy, detail).retry_after(1_000)
                         } else {
+                            context.begin_probe(now, &mut state);
                             return Ok(target);
                         }
                     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod held_plan;
 pub mod listener;
 pub mod notice;
+pub mod part_ledger;
 pub mod peer;
 pub mod peer_exchange;
 pub mod placement;
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -9,6 +9,7 @@
 use crate::fingerprint::RequestFingerprint;
 use crate::gateway::crash_ledger::{MAX_CRASHES, QUARANTINE_MS};
 use crate::gateway::forward::RequestContext;
+use crate::gateway::part_ledger::{PartCertainty, PartRuling, PromptPart};
 use crate::gateway::run::Gateway;
 use crate::gateway::state::GatewayState;
 use crate::gateway::sync::{StoreStatus, REGISTRY_WATCH_MS};
@@ -42,6 +43,13 @@
     },
     /// Replicas crashed under a request, and it is refused.
     Quarantine(RequestFingerprint),
+    /// Replicas crashed under requests with a part of a prompt, and these are refused.
+    PromptPart {
+        /// The part.
+        part: PromptPart,
+        /// How sure it is that it is to blame.
+        certainty: PartCertainty,
+    },
 }
 
 /// Notices that are not in the store yet, and those that are.
@@ -97,8 +105,14 @@
     }
 }
 
-/// Records that a replica crashed, or was cut off, while it ran a request.
-pub(super) fn note_crash(gateway: &Gateway, context: &RequestContext, key: UpstreamKey) {
+/// Records that a replica crashed, or was cut off, while it ran a request. `may_be_cause` tells
+/// whether the parts of the prompt may be to blame: the answer had not gone on for long.
+pub(super) fn note_crash(
+    gateway: &Gateway,
+    context: &RequestContext,
+    key: UpstreamKey,
+    may_be_cause: bool,
+) {
     gateway.metrics.crashes_under_requests.inc();
     let now = gateway.clock.now();
     let mut state = gateway.state();
@@ -111,10 +125,13 @@
         replica,
         rand::random(),
     );
+    if may_be_cause && state.parts.record_crash(now, replica, &context.suspect) {
+        gateway.peer_update.notify_one();
+    }
     drop(state);
     let crashes = added.map_or_else(|| "uncounted".to_owned(), |crashes| crashes.to_string());
     spdlog::info!(
-        "event=crash_under_request request={} fingerprint={} upstream={id} crashes={crashes} parts={}",
+        "event=crash_under_request request={} fingerprint={} upstream={id} crashes={crashes} may_be_cause={may_be_cause} parts={}",
         context.meta.id,
         context.fingerprint,
         part_ids(&context.meta.shared_parts),
@@ -130,6 +147,38 @@
     }
 }
 
+/// Judges the crashes under parts of prompts, and has the store keep which parts are refused.
+pub(super) fn judge_parts(gateway: &Gateway, now: ClockTime, state: &mut GatewayState) {
+    for PartRuling {
+        part,
+        certainty,
+        crashes,
+    } in state.parts.judge(now)
+    {
+        spdlog::warn!(
+            "event=prompt_part_quarantined part={part} certainty={certainty} crashes={}",
+            crashes.len()
+        );
+        state.crashes.forgive(now, &crashes);
+        keep_part(gateway, state, part, certainty);
+    }
+}
+
+/// Has the store keep that a part of prompts is refused, if this gateway observed why.
+pub(super) fn keep_part(
+    gateway: &Gateway,
+    state: &mut GatewayState,
+    part: PromptPart,
+    certainty: PartCertainty,
+) {
+    if state.parts.observed_here(part) {
+        state
+            .notices
+            .add(KeptNotice::PromptPart { part, certainty });
+        gateway.notice_update.notify_one();
+    }
+}
+
 fn part_ids(parts: &[u128]) -> String {
     let ids = parts.iter().map(|part| format!("{part:x}"));
     ids.collect::<Vec<_>>().join(",")
@@ -157,6 +206,14 @@
             state.notices.add(KeptNotice::Quarantine(fingerprint));
         }
     }
+    for part in state.parts.confirmed(now, QUARANTINE_MS / 2) {
+        if !observed_only || state.parts.observed_here(part) {
+            let certainty = PartCertainty::Confirmed;
+            state
+                .notices
+                .add(KeptNotice::PromptPart { part, certainty });
+        }
+    }
 }
 
 /// The notice that an upstream is leaving. `None` if its start is unknown, since the notice would also
@@ -286,6 +343,13 @@
                 spdlog::warn!("event=request_quarantined fingerprint={fingerprint} peer=store");
             }
         }
+        KeptNotice::PromptPart { part, certainty } => {
+            if state.parts.quarantine(now, *part, *certainty) {
+                spdlog::warn!(
+                    "event=prompt_part_quarantined part={part} certainty={certainty} peer=store"
+                );
+            }
+        }
     }
     state.notices.record_stored(notice);
 }
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -9,7 +9,7 @@
 use tokio::net::UdpSocket;
 
 use crate::clock::ClockTime;
-use crate::gateway::notice::KeptNotice;
+use crate::gateway::notice::{judge_parts, keep_part, KeptNotice};
 use crate::gateway::peer::{PeerReport, LOAD_INTERVAL_MS};
 use crate::gateway::run::Gateway;
 use crate::gateway::task::spawn_lasting;
@@ -22,6 +22,9 @@
 const MAX_PULSE_GAP_MS: u64 = 10 * LOAD_INTERVAL_MS;
 /// Upper bound of the requests with crashes in one message, so that it fits into one packet.
 const MAX_CRASHES_PER_MESSAGE: usize = 10;
+/// Upper bound of the parts of prompts with crashes in one message, so that those with most crashes
+/// fit into the receive buffer.
+const MAX_PARTS_PER_MESSAGE: usize = 6;
 /// Size of the receive buffer, bytes. The rest of a larger datagram is cut off.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
@@ -95,6 +98,19 @@
         state.peers.refresh_totals(now);
         let mut messages = state.peers.load_messages(now, &state.upstreams);
         messages[0].config_version = state.routes.config().version;
+        let own_address = gateway.config.message_address;
+        let earlier = state
+            .peer_addresses
+            .iter()
+            .filter(|peer| **peer < own_address);
+        state.parts.set_probe_rank(earlier.count());
+        judge_parts(gateway, now, state);
+        let part_crashes = state.parts.take_reports(now);
+        let chunks = part_crashes.chunks(MAX_PARTS_PER_MESSAGE);
+        messages.extend(chunks.map(|chunk| GatewayLoad {
+            part_crashes: chunk.to_vec(),
+            ..GatewayLoad::default()
+        }));
         let crashes = state.crashes.take_reports(now);
         let chunks = crashes.chunks(MAX_CRASHES_PER_MESSAGE);
         messages.extend(chunks.map(|chunk| GatewayLoad {
@@ -163,6 +179,14 @@
             }
         }
     }
+    for report in &load.part_crashes {
+        if let Some((part, certainty)) = state.parts.apply_report(now, report) {
+            spdlog::warn!(
+                "event=prompt_part_quarantined part={part} certainty={certainty} peer={from}"
+            );
+            keep_part(gateway, state, part, certainty);
+        }
+    }
     if state.apply_peer_version(load.config_version) {
         spdlog::debug!(
             "event=peer_has_newer_config version={} peer={from}",
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -125,6 +125,7 @@
                                 self.silent_ms = 0;
                                 self.checked_at = self.gateway.clock.now();
                             }
+                            self.attempt.record_event();
                             self.gateway.metrics.tokens.inc();
                             return Some(Ok(events));
                         }
@@ -138,6 +139,7 @@
                 }
                 Ok(None) => {
                     self.finished = true;
+                    self.attempt.record_end();
                     self.attempt.release_connection(&self.meta);
                     let upstream_key = self.attempt.target.upstream;
                     record_completion(&self.gateway, &self.context, upstream_key, 200);
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -57,6 +57,9 @@
             return None;
         }
     };
+    if head.status.is_success() {
+        attempt.record_end();
+    }
     attempt.release_connection(&meta);
     let mut response = Response::new(buffer.into_body().boxed_unsync());
     *response.status_mut() = head.status;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use crate::gateway::crash_ledger::CrashLedger;
 use crate::gateway::freshness::FreshnessProof;
 use crate::gateway::notice::NoticeQueue;
+use crate::gateway::part_ledger::PartLedger;
 use crate::gateway::peer::{LinkKey, PeerTable};
 use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamTable};
 use crate::verdict::{RefusalReason, RequestRefusal};
@@ -147,6 +148,8 @@
     pub peers: PeerTable,
     /// Replicas that crashed under requests, here and at the peers.
     pub crashes: CrashLedger,
+    /// Parts of prompts under which replicas crashed, here and at the peers.
+    pub parts: PartLedger,
     /// Notices for the store.
     pub notices: NoticeQueue,
     /// Addresses at which other gateways receive peer messages.
@@ -168,6 +171,7 @@
             upstreams: UpstreamTable::default(),
             peers: PeerTable::default(),
             crashes: CrashLedger::default(),
+            parts: PartLedger::default(),
             notices: NoticeQueue::default(),
             peer_addresses: Vec::new(),
             peers_read: false,
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -14,6 +14,7 @@
 use crate::gateway::attempt_ledger::AttemptFailure;
 use crate::gateway::forward::RequestContext;
 use crate::gateway::notice::{note_crash, note_leaving};
+use crate::gateway::part_ledger::{SuspectRun, PROOF_MS};
 use crate::gateway::pool::{connect, UpstreamConnection};
 use crate::gateway::reroute::{check_silent_request, AttemptHealth, SILENCE_CHECK_MS};
 use crate::gateway::run::Gateway;
@@ -37,11 +38,32 @@
     connection: Option<UpstreamConnection>,
     /// Whether a crash was recorded for the replicas that the request runs on now.
     crash_noted: bool,
+    progress: RunProgress,
+    suspect: SuspectRun,
+}
+
+/// How far a run at the present replicas got, as far as it shows whether it may crash them.
+#[derive(Clone, Copy, Debug, Default)]
+struct RunProgress {
+    /// Whether the replicas may run the request.
+    is_sent: bool,
+    /// When the first event of the answer arrived.
+    began_at: Option<ClockTime>,
+    /// Whether the answer went on for long enough, or the run ended otherwise than by its caller.
+    is_settled: bool,
 }
 
 impl Drop for UpstreamAttempt {
     fn drop(&mut self) {
-        self.gateway.state().release(&self.target);
+        let now = self.gateway.clock.now();
+        let mut state = self.gateway.state();
+        state.release(&self.target);
+        if self.progress.is_sent && !self.progress.is_settled {
+            let replica = self.target.address;
+            state
+                .parts
+                .record_abandoned(now, replica, self.suspect.clone());
+        }
     }
 }
 
@@ -52,12 +74,45 @@
         if std::mem::replace(&mut self.crash_noted, true) {
             return;
         }
-        note_crash(&self.gateway, context, key);
+        let is_settled = std::mem::replace(&mut self.progress.is_settled, true);
+        note_crash(&self.gateway, context, key, !is_settled);
+        context.end_probe();
+    }
+
+    /// Records that whole events of the answer arrived. An answer that goes on shows that the parts
+    /// of its prompt are sound.
+    pub(super) fn record_event(&mut self) {
+        if self.progress.is_settled {
+            return;
+        }
+        let now = self.gateway.clock.now();
+        let began_at = *self.progress.began_at.get_or_insert(now);
+        if now.since(began_at) >= PROOF_MS {
+            self.prove_parts(now, began_at);
+        }
+    }
+
+    /// Records that the answer is complete.
+    pub(super) fn record_end(&mut self) {
+        let now = self.gateway.clock.now();
+        if !self.progress.is_settled {
+            self.prove_parts(now, self.progress.began_at.unwrap_or(now));
+        }
+    }
+
+    fn prove_parts(&mut self, now: ClockTime, began_at: ClockTime) {
+        self.progress.is_settled = true;
+        let mut state = self.gateway.state();
+        state.parts.record_proof(now, &self.suspect.parts, began_at);
     }
 
     /// Records that the request runs at another target now. Returns the previous one.
     pub(super) fn move_to(&mut self, target: SendTarget) -> SendTarget {
         self.crash_noted = false;
+        self.progress = RunProgress {
+            is_sent: true,
+            ..RunProgress::default()
+        };
         std::mem::replace(&mut self.target, target)
     }
 
@@ -115,6 +170,8 @@
         target,
         connection: None,
         crash_noted: false,
+        progress: RunProgress::default(),
+        suspect: context.suspect.clone(),
     };
     let now = gateway.clock.now();
     let max_idle_ms = match context.admitted.retryable {
@@ -133,7 +190,12 @@
                     context.meta.id,
                     attempt.target.upstream_id
                 );
-                gateway.state().upstreams.suspect(now, key);
+                let mut state = gateway.state();
+                state.upstreams.suspect(now, key);
+                if state.parts.record_unreachable(now, attempt.target.address) {
+                    gateway.peer_update.notify_one();
+                }
+                drop(state);
                 return Err(failed(AttemptFailure::NotSent));
             }
         },
@@ -144,6 +206,7 @@
         return Err(failed(AttemptFailure::NotSent));
     }
     let request = build_request(context, &attempt.target, now, last_event_id);
+    attempt.progress.is_sent = true;
     let exchange = connection.exchange(request);
     let outcome = wait_for_head(gateway, context, &mut attempt, may_retry, exchange).await;
     let response = match outcome {
@@ -157,6 +220,7 @@
                 error.error()
             );
             if !sent {
+                attempt.progress.is_sent = false;
                 return Err(failed(AttemptFailure::NotSent));
             }
             gateway
@@ -196,6 +260,7 @@
         heed_notices(gateway, &attempt.target, status, &meta);
     }
     if matches_request && not_run {
+        attempt.progress.is_settled = true;
         let mut state = gateway.state();
         let faulty = meta
             .faulty_replica
@@ -230,6 +295,7 @@
     }
     let valid = meta.has_request_id && !meta.encoded && (meta.stamped || !status.is_success());
     if !valid {
+        attempt.progress.is_settled = true;
         spdlog::warn!(
             "event=response_invalid request={} upstream={} status={} meta={meta:?}",
             context.meta.id,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -58,7 +58,7 @@
 }
 
 /// Upper bound of the shared parts of a prompt that are told apart.
-pub const MAX_PROMPT_PARTS: usize = 32;
+pub const MAX_PROMPT_PARTS: usize = 16;
 
 /// Parses the ids of the shared parts out of a list of `ID:TOKENS`. Ids that are not hexadecimal
 /// numbers of at most 32 digits are left out.
--- a/src/platform/notice.rs
+++ b/src/platform/notice.rs
@@ -8,6 +8,7 @@
 
 const LEAVING: &str = "leaving/";
 const QUARANTINE: &str = "quarantine/";
+const PROMPT_PART: &str = "part/";
 
 /// Returns the store key and value of a notice.
 pub fn encode_notice(notice: &KeptNotice) -> (String, Vec<u8>) {
@@ -20,6 +21,10 @@
             let key = format!("{NOTICE_PREFIX}{QUARANTINE}{fingerprint}");
             (key, Vec::new())
         }
+        KeptNotice::PromptPart { part, certainty } => (
+            format!("{NOTICE_PREFIX}{PROMPT_PART}{part}"),
+            certainty.to_string().into_bytes(),
+        ),
     }
 }
 
@@ -30,8 +35,9 @@
 /// If the key names no kind of notice, or key or value are not in the form of that kind.
 pub fn decode_notice(item: &PlatformItem) -> eyre::Result<KeptNotice> {
     let name = item.key.strip_prefix(NOTICE_PREFIX).unwrap_or(&item.key);
+    let value_text = || std::str::from_utf8(&item.value).wrap_err("the value is not text");
     if let Some(id) = name.strip_prefix(LEAVING) {
-        let text = std::str::from_utf8(&item.value).wrap_err("the value is not text")?;
+        let text = value_text()?;
         let born = text
             .parse()
             .wrap_err_with(|| format!("could not parse the start \"{text}\""))?;
@@ -41,5 +47,12 @@
     if let Some(text) = name.strip_prefix(QUARANTINE) {
         return Ok(KeptNotice::Quarantine(text.parse()?));
     }
-    bail!("unknown kind of notice, expected \"{LEAVING}\" or \"{QUARANTINE}\"")
+    if let Some(part) = name.strip_prefix(PROMPT_PART) {
+        let (part, text) = (part.parse()?, value_text()?);
+        let certainty = text
+            .parse()
+            .wrap_err_with(|| format!("unknown certainty \"{text}\""))?;
+        return Ok(KeptNotice::PromptPart { part, certainty });
+    }
+    bail!("unknown kind of notice, expected \"{LEAVING}\", \"{QUARANTINE}\" or \"{PROMPT_PART}\"")
 }
--- a/src/wire/gen.rs
+++ b/src/wire/gen.rs
@@ -455,6 +455,43 @@
     pub config_version: u64,
     #[prost(message, repeated, tag = "4")]
     pub crashes: ::prost::alloc::vec::Vec<RequestCrashes>,
+    #[prost(message, repeated, tag = "5")]
+    pub part_crashes: ::prost::alloc::vec::Vec<PartCrashes>,
+}
+/// Replicas that crashed when they began to answer prompts with one part. Without any, and not
+/// quarantined, answers have shown since that the part is sound.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PartCrashes {
+    /// Hash of the service and id of the part, in hexadecimal: "service-id".
+    #[prost(string, tag = "1")]
+    pub part: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "2")]
+    pub crashes: ::prost::alloc::vec::Vec<PartCrash>,
+    /// One more than the time since the last answer began that shows that the part is sound, in
+    /// milliseconds; zero if there is none.
+    #[prost(uint32, tag = "3")]
+    pub proved_ago: u32,
+    /// Time for which the part is still quarantined, in milliseconds; zero if it is not.
+    #[prost(uint32, tag = "4")]
+    pub quarantine_ms: u32,
+    /// Time since the quarantine began, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub quarantined_ago_ms: u32,
+    /// Whether replicas crashed again after the first quarantine.
+    #[prost(bool, tag = "6")]
+    pub confirmed: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PartCrash {
+    /// Address on which the replica listened, "ip:port".
+    #[prost(string, tag = "1")]
+    pub address: ::prost::alloc::string::String,
+    /// Time since the crash, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub ago_ms: u32,
+    /// Identify some of the requests with the part that the replica was to answer.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub requests: ::prost::alloc::vec::Vec<u64>,
 }
 /// Replicas that crashed while they ran one request, which its caller may send again to any gateway.
 /// Without any, and not quarantined, the request has completed since.
--- a/tests/gateway/adapter.rs
+++ b/tests/gateway/adapter.rs
@@ -5,6 +5,7 @@
 use lynxcart::fingerprint::RequestFingerprint;
 use lynxcart::gateway::catalog::WorkKind;
 use lynxcart::gateway::notice::KeptNotice;
+use lynxcart::gateway::part_ledger::{PartCertainty, PromptPart};
 use lynxcart::gateway::placement::OrderReply;
 use lynxcart::gateway::upstream::LayerRange;
 use lynxcart::platform::headers::{
@@ -425,6 +426,14 @@
         leaving("a/b", u64::MAX),
         KeptNotice::Quarantine(fingerprint),
         KeptNotice::Quarantine(RequestFingerprint([0; 16])),
+        KeptNotice::PromptPart {
+            part: PromptPart::new("model", u128::MAX),
+            certainty: PartCertainty::Suspected,
+        },
+        KeptNotice::PromptPart {
+            part: PromptPart::new("", 0),
+            certainty: PartCertainty::Confirmed,
+        },
     ] {
         let (key, value) = encode_notice(&notice);
         assert!(key.starts_with(NOTICE_PREFIX), "{key}");
@@ -436,6 +445,9 @@
         ("quarantine/", ""),
         ("quarantine/xyz", ""),
         ("quarantine/000000000000000000000000000000000", "0"),
+        ("part/1", "confirmed"),
+        ("part/1-x", "confirmed"),
+        ("part/1-2", "perhaps"),
         ("unknown/i-1", "1"),
         ("", ""),
     ] {
--- a/tests/gateway/malformed.rs
+++ b/tests/gateway/malformed.rs
@@ -13,7 +13,9 @@
 use lynxcart::platform::serving_config::decode_config;
 use lynxcart::store::position::StorePosition;
 use lynxcart::store::PlatformItem;
-use lynxcart::wire::gen::{GatewayLoad, PipeLoad, ReplicaCrash, RequestCrashes, UpstreamLoad};
+use lynxcart::wire::gen::{
+    GatewayLoad, PartCrash, PartCrashes, PipeLoad, ReplicaCrash, RequestCrashes, UpstreamLoad,
+};
 use proptest::prelude::{any, prop, prop_assert, prop_oneof, proptest, Just, Strategy};
 use serde_json::{json, Value};
 
@@ -194,6 +196,7 @@
         (address, ago_ms, observation) in (".*", any::<u32>(), any::<u64>()),
         quarantine_ms in any::<u32>(),
     ) {
+        let part_crash = PartCrash { address: address.clone(), ago_ms, requests: vec![observation; 9] };
         let crash = ReplicaCrash { address, ago_ms, observation };
         let mut state = state(&[1], 1_000);
         state.upstreams.apply_entry(NOW, entry(1, "x", "a", "v100", LayerRange { from: 0, to: 8 }));
@@ -217,12 +220,24 @@
                 crashes: vec![crash.clone(), crash],
                 quarantine_ms,
             }],
+            part_crashes: vec![PartCrashes {
+                part: "1-a".to_owned(),
+                crashes: vec![part_crash.clone(), part_crash],
+                proved_ago: ago_ms,
+                quarantine_ms,
+                quarantined_ago_ms: ago_ms,
+                confirmed: version % 2 == 0,
+            }],
         };
         for peer in ["one", "other"] {
             state.apply_peer_version(message.config_version);
             for report in &message.crashes {
                 state.crashes.apply_report(NOW, report);
             }
+            for report in &message.part_crashes {
+                state.parts.apply_report(NOW, report);
+            }
+            state.parts.judge(NOW);
             let table = &state.upstreams;
             for report in state.peers.apply_report(NOW, peer, &message, table) {
                 let _ = format!("{report:?}");
@@ -231,5 +246,6 @@
         state.peers.load_messages(NOW, &state.upstreams);
         state.domain_summaries(NOW);
         prop_assert!(state.crashes.take_reports(NOW).len() <= 64);
+        prop_assert!(state.parts.take_reports(NOW).len() <= 64);
     }
 }
