Read a stream on while a check on it is awaited

Callers saw: a stream whose replica was sound but slow was started again at another replica, which costs a prompt read anew and a pause.

Cause: EventRelay did not read the body while it awaited a report of the replica. An event that came meanwhile lay unread, and the replica was given up for 450 ms of silence.

Change: the relay reads whole events while it waits and counts them as signs of life at once; it hands them on after the check. A check whose query failed lets the connection read what has arrived before it judges. Bytes without whole events are no sign of life, as before.

Evidence: stream_whose_event_comes_during_a_query_is_not_given_up sends each event during the second query.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,6 +1,7 @@
 //! Relays an event stream to the caller, on the task that serves the caller's connection. Where the
 //! route allows it, an interrupted stream is resumed at another upstream.
 
+use std::collections::VecDeque;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,6 +29,69 @@
 /// arrive, milliseconds.
 const EVENT_REPORT_INTERVAL_MS: u64 = 300;
 
+/// Upper bound of what is read of a stream while a check on it is awaited.
+const MAX_EARLY_STEPS: usize = 64;
+
+/// What the next frame of an upstream's body means for the stream.
+#[derive(Debug)]
+enum StreamStep {
+    /// Whole events.
+    Events {
+        /// Their bytes.
+        events: Bytes,
+        /// Whether any is new: comments that keep a connection alive have no id.
+        is_progress: bool,
+    },
+    /// The stream is complete.
+    Ended,
+    /// The stream ended inside an event.
+    CutOff,
+    /// The connection broke.
+    Broken(String),
+    /// The bytes are not those of a stream.
+    Invalid(String),
+}
+
+impl StreamStep {
+    /// The step that a frame makes, if any. `None` for `frame` is the end of the body.
+    fn from_frame(
+        splitter: &mut EventSplitter,
+        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+    ) -> Option<StreamStep> {
+        let data = match frame {
+            Some(Ok(frame)) => frame.into_data().ok()?,
+            Some(Err(error)) => return Some(StreamStep::Broken(error.to_string())),
+            None if splitter.has_partial_event() => return Some(StreamStep::CutOff),
+            None => return Some(StreamStep::Ended),
+        };
+        let last_id = splitter.last_id();
+        match splitter.push(data) {
+            Ok(events) if events.is_empty() => None,
+            Ok(events) => Some(StreamStep::Events {
+                events,
+                is_progress: splitter.last_id() != last_id || last_id.is_none(),
+            }),
+            Err(fault) => Some(StreamStep::Invalid(format!(
+                "invalid event stream: {fault:?}"
+            ))),
+        }
+    }
+
+    fn is_progress(&self) -> bool {
+        matches!(
+            self,
+            StreamStep::Events {
+                is_progress: true,
+                ..
+            }
+        )
+    }
+
+    fn ends_run(&self) -> bool {
+        !matches!(self, StreamStep::Events { .. })
+    }
+}
+
 struct EventRelay {
     gateway: Arc<Gateway>,
     context: RequestContext,
@@ -36,6 +100,8 @@
     meta: ResponseMeta,
     body: Incoming,
     splitter: EventSplitter,
+    /// What was read while a check on the stream was awaited.
+    early_steps: VecDeque<StreamStep>,
     avoid: Vec<UpstreamKey>,
     finished: bool,
     /// Time since the last whole event, in steps of [`SILENCE_CHECK_MS`]. Bytes of an incomplete
@@ -63,6 +129,7 @@
         meta: opened.meta,
         body,
         splitter: EventSplitter::default(),
+        early_steps: VecDeque::new(),
         avoid: Vec::new(),
         finished: false,
         silent_ms: 0,
@@ -90,72 +157,53 @@
         }
         loop {
             self.reroute_on_changes().await;
-            let now = self.gateway.clock.now();
-            let remaining = self.context.admitted.deadline.since(now);
-            if remaining == 0 {
-                return Some(self.abort("the deadline has passed"));
-            }
-            let until_check = SILENCE_CHECK_MS.saturating_sub(now.since(self.checked_at));
-            if until_check == 0 {
-                self.silent_ms += SILENCE_CHECK_MS;
-                if let Err(abort_reason) = self.handle_silence().await {
-                    return Some(self.abort(&abort_reason));
-                }
-                self.checked_at = self.gateway.clock.now();
-                continue;
-            }
-            let wait = Duration::from_millis(remaining.min(until_check));
-            let reason = match tokio::time::timeout(wait, self.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    let last_id = self.splitter.last_id();
-                    match self.splitter.push(data) {
-                        Ok(events) if events.is_empty() => continue,
-                        Ok(events) => {
-                            // Comments that keep a connection alive have no id.
-                            if self.splitter.last_id() != last_id || last_id.is_none() {
-                                if self.silent_ms > 0 {
-                                    let upstream_key = self.attempt.target.upstream;
-                                    let now = self.gateway.clock.now();
-                                    let mut state = self.gateway.state();
-                                    state.upstreams.record_answer(now, upstream_key);
-                                }
-                                self.silent_ms = 0;
-                                self.checked_at = self.gateway.clock.now();
-                            }
-                            self.attempt.record_event();
-                            self.gateway.metrics.tokens.inc();
-                            return Some(Ok(events));
+            let step = match self.early_steps.pop_front() {
+                Some(step) => step,
+                None => match self.read_step().await {
+                    Ok(Some(step)) => step,
+                    Ok(None) => continue,
+                    Err(abort_reason) => return Some(self.abort(&abort_reason)),
+                },
+            };
+            let upstream_key = self.attempt.target.upstream;
+            let reason = match step {
+                StreamStep::Events {
+                    events,
+                    is_progress,
+                } => {
+                    if is_progress {
+                        let now = self.gateway.clock.now();
+                        if self.silent_ms > 0 {
+                            let mut state = self.gateway.state();
+                            state.upstreams.record_answer(now, upstream_key);
                         }
-                        Err(fault) => format!("invalid event stream: {fault:?}"),
+                        self.silent_ms = 0;
+                        self.checked_at = now;
                     }
+                    self.attempt.record_event();
+                    self.gateway.metrics.tokens.inc();
+                    return Some(Ok(events));
                 }
-                Ok(None) if self.splitter.has_partial_event() => {
-                    let upstream_key = self.attempt.target.upstream;
-                    self.attempt.note_crash(&self.context, upstream_key);
-                    String::from("ended inside an event")
-                }
-                Ok(None) => {
+                StreamStep::Ended => {
                     self.finished = true;
                     self.attempt.record_end();
                     self.attempt.release_connection(&self.meta);
-                    let upstream_key = self.attempt.target.upstream;
                     record_completion(&self.gateway, &self.context, upstream_key, 200);
                     return None;
                 }
-                Ok(Some(Err(error))) => {
-                    let upstream_key = self.attempt.target.upstream;
+                StreamStep::CutOff => {
+                    self.attempt.note_crash(&self.context, upstream_key);
+                    String::from("ended inside an event")
+                }
+                StreamStep::Broken(error) => {
                     let now = self.gateway.clock.now();
-                    self.gateway
-                        .state()
-                        .upstreams
-                        .record_exchange_failure(now, upstream_key);
+                    let mut state = self.gateway.state();
+                    state.upstreams.record_exchange_failure(now, upstream_key);
+                    drop(state);
                     self.attempt.note_crash(&self.context, upstream_key);
-                    error.to_string()
+                    error
                 }
-                Err(_) => continue,
+                StreamStep::Invalid(reason) => reason,
             };
             if let Err(abort_reason) = self.resume(&reason, self.gateway.clock.now()).await {
                 return Some(self.abort(&abort_reason));
@@ -163,6 +211,31 @@
         }
     }
 
+    /// Waits for the next step of the stream, and checks on a silent one. Returns `None` if there is
+    /// none yet.
+    ///
+    /// # Errors
+    ///
+    /// If the stream has to end.
+    async fn read_step(&mut self) -> Result<Option<StreamStep>, String> {
+        let now = self.gateway.clock.now();
+        let remaining = self.context.admitted.deadline.since(now);
+        if remaining == 0 {
+            return Err(String::from("the deadline has passed"));
+        }
+        let until_check = SILENCE_CHECK_MS.saturating_sub(now.since(self.checked_at));
+        if until_check == 0 {
+            self.silent_ms += SILENCE_CHECK_MS;
+            self.handle_silence().await?;
+            self.checked_at = self.gateway.clock.now();
+            return Ok(None);
+        }
+        let wait = Duration::from_millis(remaining.min(until_check));
+        let frame = tokio::time::timeout(wait, self.body.frame()).await;
+        let step = frame.map(|frame| StreamStep::from_frame(&mut self.splitter, frame));
+        Ok(step.unwrap_or(None))
+    }
+
     /// Checks the chain of a silent stream. If the chain is dead or stuck and a retry is allowed,
     /// resumes the stream at another upstream; otherwise keeps waiting, since a stream is never
     /// ended for silence alone.
@@ -173,18 +246,18 @@
     async fn handle_silence(&mut self) -> Result<(), String> {
         let query_report = self.silent_ms % EVENT_REPORT_INTERVAL_MS < SILENCE_CHECK_MS;
         let may_retry = self.ledger.may_retry(self.gateway.clock.now());
-        let attempt = &mut self.attempt;
-        let health = check_silent_request(
-            &self.gateway,
-            &self.context,
-            attempt,
-            query_report,
-            may_retry,
-        )
-        .await;
+        let health = self.await_check(query_report, may_retry).await;
         if health == AttemptHealth::Quarantined {
             return Err(String::from("replicas crashed while they ran this request"));
         }
+        // What was read meanwhile shows that the stream goes on, or how it ended.
+        let steps = &self.early_steps;
+        if steps
+            .iter()
+            .any(|step| step.is_progress() || step.ends_run())
+        {
+            return Ok(());
+        }
         if health != AttemptHealth::Alive && may_retry {
             let reason = format!("no events received, chain is {health:?}");
             // The silent upstream may recover, so the resume must not wait for free capacity: a
@@ -209,6 +282,37 @@
         Ok(())
     }
 
+    /// Checks the chain of a silent stream, and reads on meanwhile: a replica whose event lies unread
+    /// is not silent.
+    async fn await_check(&mut self, query_report: bool, may_retry: bool) -> AttemptHealth {
+        let upstream_key = self.attempt.target.upstream;
+        let mut check = std::pin::pin!(check_silent_request(
+            &self.gateway,
+            &self.context,
+            &mut self.attempt,
+            query_report,
+            may_retry,
+        ));
+        loop {
+            let has_ended = self.early_steps.back().is_some_and(StreamStep::ends_run);
+            let may_read = !has_ended && self.early_steps.len() < MAX_EARLY_STEPS;
+            let frame = tokio::select! {
+                biased;
+                frame = self.body.frame(), if may_read => frame,
+                health = &mut check => return health,
+            };
+            let Some(step) = StreamStep::from_frame(&mut self.splitter, frame) else {
+                continue;
+            };
+            if step.is_progress() {
+                let now = self.gateway.clock.now();
+                let mut state = self.gateway.state();
+                state.upstreams.record_answer(now, upstream_key);
+            }
+            self.early_steps.push_back(step);
+        }
+    }
+
     /// Reroutes the stream around replicas that have started draining since the last check.
     async fn reroute_on_changes(&mut self) {
         let current_version = self.gateway.state().upstreams.version();
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -76,6 +76,8 @@
     let stalled = match fetch_stalled(gateway, &attempt.target).await {
         Ok(stalled) => stalled,
         Err(failure) => {
+            // Lets the connection read events that have arrived, which are signs of life.
+            tokio::task::yield_now().await;
             let mut state = gateway.state();
             state.upstreams.suspect(now, first);
             let unresponsive = state.upstreams.get(first).unresponsive(gateway.clock.now());
--- a/standins/tests/misbehaviour.rs
+++ b/standins/tests/misbehaviour.rs
@@ -162,24 +162,23 @@
     panic!("no stream was sent to the replica that trickles");
 }
 
-/// A replica that is slow to send events and to report goes on with its work: it is neither started
-/// elsewhere nor given up.
-#[tokio::test(flavor = "multi_thread")]
-async fn slow_stream_of_a_replica_that_is_slow_to_report_is_left_alone() {
-    let site = start_site("misbehaviour-slow").await;
-    let streams = RawBehaviour::Streams { interval_ms: 450 };
+/// Sends streams until one goes to a replica that sends an event each `interval_ms` milliseconds and
+/// is slow to report: it is neither started elsewhere nor given up.
+async fn assert_slow_stream_is_left_alone(name: &str, interval_ms: u64, event_count: u64) {
+    let site = start_site(name).await;
+    let streams = RawBehaviour::Streams { interval_ms };
     let raw = RawReplica::start(streams, Some(320))
         .await
         .expect("the replica should start");
     raw.register(&site.store, &site.replicas, FIRST_LAYERS);
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     for number in 0..40 {
-        let request = SiteRequest::stream(&format!("s{number}"), 12);
+        let request = SiteRequest::stream(&format!("s{number}"), event_count);
         let answer = site
             .fetch(0, &request)
             .await
             .expect("the stream should complete");
-        assert_eq!(answer.event_ids(), (1..=12).collect::<Vec<u64>>());
+        assert_eq!(answer.event_ids(), (1..=event_count).collect::<Vec<u64>>());
         if raw.received().contains(&request.id) {
             assert_eq!(
                 (raw.received().len(), site.run_count(&request.id)),
@@ -192,6 +191,17 @@
     panic!("no stream was sent to the slow replica");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_stream_of_a_replica_that_is_slow_to_report_is_left_alone() {
+    assert_slow_stream_is_left_alone("misbehaviour-slow", 450, 12).await;
+}
+
+/// Each event comes while the second query since the one before it is awaited.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_whose_event_comes_during_a_query_is_not_given_up() {
+    assert_slow_stream_is_left_alone("misbehaviour-unread", 700, 10).await;
+}
+
 /// Sends a request on a new connection. Returns whether it was answered, `None` if the connection
 /// was refused.
 fn ask_once(address: SocketAddr, id: &str) -> Option<bool> {
