Tell the store when a part or a request is released

Cause: a release ended the quarantine in memory only. The notice in the store stayed for its ten minutes and was applied again by each gateway that read it, and NoticeQueue took a later quarantine for one that the store has.

Change: a release writes its own notice to the same key. A notice takes the place of the one that it replaces, in the store and in the queue.

--- a/src/gateway/crash_ledger.rs
+++ b/src/gateway/crash_ledger.rs
@@ -173,10 +173,11 @@
         }
     }
 
-    /// Forgets crashes whose cause was found in the prompts of other requests. What is not
-    /// quarantined without them counts as completed.
-    pub fn forgive(&mut self, now: ClockTime, ends: &[ReplicaEnd]) {
-        for history in self.histories.values_mut() {
+    /// Forgets crashes whose cause was found in the prompts of other requests. What was quarantined
+    /// for them counts as completed, and is returned.
+    pub fn forgive(&mut self, now: ClockTime, ends: &[ReplicaEnd]) -> Vec<RequestFingerprint> {
+        let mut released = Vec::new();
+        for (fingerprint, history) in &mut self.histories {
             let before = history.crashes.len();
             history.crashes.retain(|crash| {
                 let (replica, at) = (crash.replica, crash.at);
@@ -186,6 +187,9 @@
             });
             let is_changed = history.crashes.len() < before;
             if is_changed && (history.quarantined || history.crashes.is_empty()) {
+                if history.quarantined {
+                    released.push(*fingerprint);
+                }
                 *history = CrashHistory {
                     expires_at: now + COMPLETION_RETENTION_MS,
                     reports_left: REPORT_REPEATS,
@@ -193,6 +197,7 @@
                 };
             }
         }
+        released
     }
 
     /// Remaining time for which a request is refused, milliseconds; `None` if it may be sent.
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -43,15 +43,31 @@
     },
     /// Replicas crashed under a request, and it is refused.
     Quarantine(RequestFingerprint),
+    /// A request that was quarantined is not to blame.
+    Released(RequestFingerprint),
     /// Replicas crashed under requests with a part of a prompt, and these are refused.
     PromptPart {
         /// The part.
         part: PromptPart,
-        /// How sure it is that it is to blame.
-        certainty: PartCertainty,
+        /// How sure it is that it is to blame. `None` if it was released since.
+        certainty: Option<PartCertainty>,
     },
 }
 
+impl KeptNotice {
+    /// Whether a notice takes the place of another in the store.
+    fn replaces(&self, other: &KeptNotice) -> bool {
+        use KeptNotice::{PromptPart, Quarantine, Released};
+        match (self, other) {
+            (PromptPart { part, .. }, PromptPart { part: known, .. }) => part == known,
+            (Quarantine(request), Released(known)) | (Released(request), Quarantine(known)) => {
+                request == known
+            }
+            _ => self == other,
+        }
+    }
+}
+
 /// Notices that are not in the store yet, and those that are.
 #[derive(Clone, Debug, Default)]
 pub struct NoticeQueue {
@@ -60,9 +76,14 @@
 }
 
 impl NoticeQueue {
-    /// Adds a notice, unless it is in the store, waits already, or the queue is full.
+    /// Adds a notice, unless it is in the store, waits already, or the queue is full. It takes the
+    /// place of one that it replaces.
     pub fn add(&mut self, notice: KeptNotice) {
-        if self.stored.contains(&notice) || self.unwritten.contains(&notice) {
+        if self.unwritten.contains(&notice) {
+            return;
+        }
+        self.unwritten.retain(|waiting| !notice.replaces(waiting));
+        if self.stored.contains(&notice) {
             return;
         }
         match self.unwritten.len() < MAX_UNWRITTEN {
@@ -79,6 +100,7 @@
     /// Records that a notice is in the store.
     pub fn record_stored(&mut self, notice: KeptNotice) {
         self.unwritten.retain(|unwritten| *unwritten != notice);
+        self.stored.retain(|stored| !notice.replaces(stored));
         self.stored.insert(notice);
     }
 
@@ -159,17 +181,24 @@
             "event=prompt_part_quarantined part={part} certainty={certainty} crashes={}",
             crashes.len()
         );
-        state.crashes.forgive(now, &crashes);
-        keep_part(gateway, state, part, certainty);
+        for fingerprint in state.crashes.forgive(now, &crashes) {
+            spdlog::info!("event=request_released fingerprint={fingerprint} part={part}");
+            state.notices.add(KeptNotice::Released(fingerprint));
+            gateway.notice_update.notify_one();
+        }
+        keep_part(gateway, state, part, Some(certainty));
+    }
+    for part in state.parts.take_released() {
+        keep_part(gateway, state, part, None);
     }
 }
 
-/// Has the store keep that a part of prompts is refused, if this gateway observed why.
+/// Has the store keep whether a part of prompts is refused, if this gateway observed why.
 pub(super) fn keep_part(
     gateway: &Gateway,
     state: &mut GatewayState,
     part: PromptPart,
-    certainty: PartCertainty,
+    certainty: Option<PartCertainty>,
 ) {
     if state.parts.observed_here(part) {
         state
@@ -208,7 +237,7 @@
     }
     for part in state.parts.confirmed(now, QUARANTINE_MS / 2) {
         if !observed_only || state.parts.observed_here(part) {
-            let certainty = PartCertainty::Confirmed;
+            let certainty = Some(PartCertainty::Confirmed);
             state
                 .notices
                 .add(KeptNotice::PromptPart { part, certainty });
@@ -343,11 +372,14 @@
                 spdlog::warn!("event=request_quarantined fingerprint={fingerprint} peer=store");
             }
         }
+        KeptNotice::Released(_) => {}
         KeptNotice::PromptPart { part, certainty } => {
-            if state.parts.quarantine(now, *part, *certainty) {
-                spdlog::warn!(
-                    "event=prompt_part_quarantined part={part} certainty={certainty} peer=store"
-                );
+            if let Some(certainty) = certainty {
+                if state.parts.quarantine(now, *part, *certainty) {
+                    spdlog::warn!(
+                        "event=prompt_part_quarantined part={part} certainty={certainty} peer=store"
+                    );
+                }
             }
         }
     }
--- a/src/gateway/part_ledger.rs
+++ b/src/gateway/part_ledger.rs
@@ -276,6 +276,8 @@
     /// When the last answer began that proves the part.
     proofs: BTreeMap<PromptPart, ClockTime>,
     abandoned: VecDeque<(ReplicaEnd, SuspectRun)>,
+    /// Parts that were released since [`Self::take_released`] was last called.
+    released: Vec<PromptPart>,
     /// When this gateway first had anything to record.
     started_at: Option<ClockTime>,
     /// Number of gateways that let a request through before this one.
@@ -318,6 +320,11 @@
         }
     }
 
+    /// Returns the parts that were released since the last call.
+    pub fn take_released(&mut self) -> Vec<PromptPart> {
+        std::mem::take(&mut self.released)
+    }
+
     /// Number of parts in the ledger, some of them twice: with crashes and with a proof.
     pub fn len(&self) -> usize {
         self.histories.len() + self.proofs.len()
@@ -616,6 +623,7 @@
         if is_released {
             spdlog::info!("event=prompt_part_released part={part}");
             history.quarantine = None;
+            self.released.push(part);
         }
         if is_released || (is_cleared && had_crashes && history.quarantine.is_none()) {
             history.expires_at = now + CLEARED_RETENTION_MS;
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -184,7 +184,7 @@
             spdlog::warn!(
                 "event=prompt_part_quarantined part={part} certainty={certainty} peer={from}"
             );
-            keep_part(gateway, state, part, certainty);
+            keep_part(gateway, state, part, Some(certainty));
         }
     }
     if state.apply_peer_version(load.config_version) {
--- a/src/platform/notice.rs
+++ b/src/platform/notice.rs
@@ -9,6 +9,8 @@
 const LEAVING: &str = "leaving/";
 const QUARANTINE: &str = "quarantine/";
 const PROMPT_PART: &str = "part/";
+/// Value of the notice of a request or a part that was released.
+const RELEASED: &str = "released";
 
 /// Returns the store key and value of a notice.
 pub fn encode_notice(notice: &KeptNotice) -> (String, Vec<u8>) {
@@ -21,9 +23,15 @@
             let key = format!("{NOTICE_PREFIX}{QUARANTINE}{fingerprint}");
             (key, Vec::new())
         }
+        KeptNotice::Released(fingerprint) => (
+            format!("{NOTICE_PREFIX}{QUARANTINE}{fingerprint}"),
+            RELEASED.as_bytes().to_vec(),
+        ),
         KeptNotice::PromptPart { part, certainty } => (
             format!("{NOTICE_PREFIX}{PROMPT_PART}{part}"),
-            certainty.to_string().into_bytes(),
+            certainty
+                .map_or_else(|| RELEASED.to_owned(), |certainty| certainty.to_string())
+                .into_bytes(),
         ),
     }
 }
@@ -45,13 +53,21 @@
         return Ok(KeptNotice::Leaving { id, born });
     }
     if let Some(text) = name.strip_prefix(QUARANTINE) {
-        return Ok(KeptNotice::Quarantine(text.parse()?));
+        let fingerprint = text.parse()?;
+        return Ok(match value_text()? {
+            RELEASED => KeptNotice::Released(fingerprint),
+            _ => KeptNotice::Quarantine(fingerprint),
+        });
     }
     if let Some(part) = name.strip_prefix(PROMPT_PART) {
         let (part, text) = (part.parse()?, value_text()?);
-        let certainty = text
-            .parse()
-            .wrap_err_with(|| format!("unknown certainty \"{text}\""))?;
+        let certainty = match text {
+            RELEASED => None,
+            text => Some(
+                text.parse()
+                    .wrap_err_with(|| format!("unknown certainty \"{text}\""))?,
+            ),
+        };
         return Ok(KeptNotice::PromptPart { part, certainty });
     }
     bail!("unknown kind of notice, expected \"{LEAVING}\", \"{QUARANTINE}\" or \"{PROMPT_PART}\"")
--- a/tests/gateway/adapter.rs
+++ b/tests/gateway/adapter.rs
@@ -426,13 +426,18 @@
         leaving("a/b", u64::MAX),
         KeptNotice::Quarantine(fingerprint),
         KeptNotice::Quarantine(RequestFingerprint([0; 16])),
+        KeptNotice::Released(fingerprint),
         KeptNotice::PromptPart {
             part: PromptPart::new("model", u128::MAX),
-            certainty: PartCertainty::Suspected,
+            certainty: Some(PartCertainty::Suspected),
+        },
+        KeptNotice::PromptPart {
+            part: PromptPart::new("model", 7),
+            certainty: None,
         },
         KeptNotice::PromptPart {
             part: PromptPart::new("", 0),
-            certainty: PartCertainty::Confirmed,
+            certainty: Some(PartCertainty::Confirmed),
         },
     ] {
         let (key, value) = encode_notice(&notice);
--- a/tests/gateway/crash_ledger.rs
+++ b/tests/gateway/crash_ledger.rs
@@ -5,6 +5,7 @@
 use lynxcart::clock::ClockTime;
 use lynxcart::fingerprint::RequestFingerprint;
 use lynxcart::gateway::crash_ledger::{CrashLedger, CrashSeries, MAX_CRASHES, QUARANTINE_MS};
+use lynxcart::gateway::part_ledger::ReplicaEnd;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -45,6 +46,36 @@
     }
 }
 
+#[test]
+fn request_that_died_beside_the_cause_is_released() {
+    let mut ledger = CrashLedger::default();
+    let mut now = NOW;
+    let mut ends = Vec::new();
+    for number in 0..3 {
+        crash_once(&mut ledger, now, request(1), replica(number), number.into());
+        let replica = replica(number);
+        ends.push(ReplicaEnd {
+            replica,
+            at: now + 200,
+        });
+        now = now + 2_000;
+    }
+    assert!(ledger.quarantine_ms(now, request(1)).is_some());
+    assert_eq!(ledger.forgive(now, &ends), [request(1)]);
+    assert_eq!(ledger.quarantine_ms(now, request(1)), None);
+    // Peers that repeat the quarantine do not bring it back.
+    let mut peer = CrashLedger::default();
+    peer.quarantine(now, request(1), QUARANTINE_MS);
+    for report in peer.take_reports(now) {
+        ledger.apply_report(now, &report);
+    }
+    assert_eq!(ledger.quarantine_ms(now, request(1)), None);
+    for report in ledger.take_reports(now) {
+        peer.apply_report(now, &report);
+    }
+    assert_eq!(peer.quarantine_ms(now, request(1)), None);
+}
+
 #[test]
 fn gateways_quarantine_together_at_the_third_crash_wherever_each_was_seen() {
     for seed in 0..200 {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod fixture;
 mod freshness;
 mod malformed;
+mod notice;
 mod part_ledger;
 mod peer;
 mod placement;
