Go on with a stream whose connection ended before its first event

Callers would see: an empty stream that looks complete, of a replica that sent the response head and crashed.

Cause: the end of such a body was taken for the end of the stream unless it came inside an event.

Change: if the body has neither length nor chunks and no event of the answer was passed on, the run is broken off and the stream goes on elsewhere, as far as its route allows. A caller that resumes after the last event still gets an empty end.

Evidence: stream_that_ends_with_its_connection_is_whole_only_after_its_events fails before in its case open-empty ([] for events 1 to 30); the cases of whole streams, of ends inside an event, and of answers that are closed or reset passed before as they do now.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,7 +8,8 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use http::Response;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, Response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 
@@ -99,6 +100,8 @@
     attempt: UpstreamAttempt,
     meta: ResponseMeta,
     body: Incoming,
+    /// Whether the body has neither a length nor chunks, so that it ends with its connection.
+    ends_with_connection: bool,
     splitter: EventSplitter,
     /// What was read while a check on the stream was awaited.
     early_steps: VecDeque<StreamStep>,
@@ -127,6 +130,7 @@
         ledger,
         attempt: opened.attempt,
         meta: opened.meta,
+        ends_with_connection: ends_with_connection(&head.headers),
         body,
         splitter: EventSplitter::default(),
         early_steps: VecDeque::new(),
@@ -144,10 +148,14 @@
     *response.status_mut() = head.status;
     *response.headers_mut() = caller_headers(&head.headers);
     // A resumed stream comes from several upstreams, so its total length is unknown.
-    response.headers_mut().remove(http::header::CONTENT_LENGTH);
+    response.headers_mut().remove(CONTENT_LENGTH);
     response
 }
 
+fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 impl EventRelay {
     /// Returns the next complete events, or `None` at the end of the stream. An error aborts the
     /// caller's connection, so that a truncated stream never looks complete.
@@ -184,6 +192,10 @@
                     self.gateway.metrics.tokens.inc();
                     return Some(Ok(events));
                 }
+                StreamStep::Ended if self.ended_before_first_event() => {
+                    self.attempt.note_crash(&self.context, upstream_key);
+                    String::from("ended before the first event")
+                }
                 StreamStep::Ended => {
                     self.finished = true;
                     self.attempt.record_end();
@@ -211,6 +223,13 @@
         }
     }
 
+    /// Whether the connection ended before any event of the answer, as that of a replica that crashed
+    /// right after the response head does.
+    fn ended_before_first_event(&self) -> bool {
+        let last_event = self.splitter.last_id().or(self.context.meta.last_event_id);
+        self.ends_with_connection && last_event.is_none()
+    }
+
     /// Waits for the next step of the stream, and checks on a silent one. Returns `None` if there is
     /// none yet.
     ///
@@ -374,6 +393,7 @@
                 Ok(opened) if opened.response.status().is_success() => {
                     self.attempt = opened.attempt;
                     self.meta = opened.meta;
+                    self.ends_with_connection = ends_with_connection(opened.response.headers());
                     self.body = opened.response.into_body();
                     self.splitter.restart();
                     self.silent_ms = 0;
--- a/standins/src/raw.rs
+++ b/standins/src/raw.rs
@@ -29,6 +29,18 @@
     Trickles,
     /// Sends bytes without an end.
     Floods(Flood),
+    /// Sends a stream with neither a length nor chunks, which ends with its connection.
+    StreamsUntilClose {
+        /// Number of whole events at most.
+        events: u64,
+        /// Whether the connection ends inside the next event.
+        is_cut: bool,
+    },
+    /// Answers with the request's body, with neither a length nor chunks.
+    AnswersUntilClose {
+        /// Whether the connection is reset in the middle of the body.
+        is_reset: bool,
+    },
     /// Sends whole events of a stream, as many as the caller asks for.
     Streams {
         /// Pause before each event, in milliseconds.
@@ -270,6 +282,30 @@
                 }
             }
             RawBehaviour::Floods(flood) => self.write_flood(stream, flood, id).await,
+            RawBehaviour::StreamsUntilClose { events, is_cut } => {
+                stream.write_all(open_head(id).as_bytes()).await?;
+                let last = request.event_count.min(request.first_event - 1 + events);
+                for number in request.first_event..=last {
+                    let event = format!("id: {number}\ndata: token {number}\n\n");
+                    stream.write_all(event.as_bytes()).await?;
+                }
+                if is_cut {
+                    let cut = format!("id: {}\nda", last + 1);
+                    stream.write_all(cut.as_bytes()).await?;
+                }
+                Err(std::io::ErrorKind::ConnectionAborted.into())
+            }
+            RawBehaviour::AnswersUntilClose { is_reset } => {
+                stream.write_all(open_head(id).as_bytes()).await?;
+                let length = request.body.len() / if is_reset { 2 } else { 1 };
+                stream.write_all(&request.body.as_bytes()[..length]).await?;
+                if is_reset {
+                    // The part of the body has to arrive before the reset discards it.
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    stream.set_zero_linger()?;
+                }
+                Err(std::io::ErrorKind::ConnectionAborted.into())
+            }
             RawBehaviour::Streams { interval_ms } => {
                 stream.write_all(stream_head(id).as_bytes()).await?;
                 for number in request.first_event..=request.event_count {
@@ -294,6 +330,11 @@
     )
 }
 
+/// Head of an answer that ends with its connection.
+fn open_head(id: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-replica-stamp: stamp\r\n\r\n")
+}
+
 fn stream_head(id: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-replica-stamp: stamp\r\n\
--- a/standins/tests/misbehaviour.rs
+++ b/standins/tests/misbehaviour.rs
@@ -162,6 +162,95 @@
     panic!("no stream was sent to the replica that trickles");
 }
 
+/// A stream with neither a length nor chunks is whole if its connection ends after an event. One
+/// that ends inside an event, or before the first one, goes on elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_ends_with_its_connection_is_whole_only_after_its_events() {
+    struct Case {
+        name: &'static str,
+        events: u64,
+        is_cut: bool,
+    }
+    let cases = [
+        Case {
+            name: "open-whole",
+            events: 30,
+            is_cut: false,
+        },
+        Case {
+            name: "open-cut",
+            events: 5,
+            is_cut: true,
+        },
+        Case {
+            name: "open-cut-first",
+            events: 0,
+            is_cut: true,
+        },
+        Case {
+            name: "open-empty",
+            events: 0,
+            is_cut: false,
+        },
+    ];
+    for case in cases {
+        let site = start_site(&format!("misbehaviour-{}", case.name)).await;
+        let streams = RawBehaviour::StreamsUntilClose {
+            events: case.events,
+            is_cut: case.is_cut,
+        };
+        let raw = RawReplica::start(streams, Some(0))
+            .await
+            .expect("the replica should start");
+        raw.register(&site.store, &site.replicas, FIRST_LAYERS);
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let mut through_raw = 0;
+        for number in 0..40 {
+            let request = SiteRequest::stream(&format!("s{number}"), 30);
+            let answer = site.fetch(0, &request).await.expect(case.name);
+            let ids: Vec<u64> = (1..=30).collect();
+            assert_eq!(answer.event_ids(), ids, "{}", case.name);
+            through_raw += u32::from(raw.received().contains(&request.id));
+            if through_raw >= 2 {
+                break;
+            }
+        }
+        assert!(through_raw > 0, "{}: no stream came to it", case.name);
+    }
+}
+
+/// An answer with neither a length nor chunks is whole if its connection is closed, and not if it is
+/// reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_ends_with_its_connection_is_not_whole_after_a_reset() {
+    for is_reset in [false, true] {
+        let site = start_site(&format!("misbehaviour-open-answer-{is_reset}")).await;
+        leave_only_raw(&site, &site.plain_addresses).await;
+        let answers = RawBehaviour::AnswersUntilClose { is_reset };
+        let raw = RawReplica::start(answers, Some(0))
+            .await
+            .expect("the replica should start");
+        raw.register(&site.store, &site.replicas, 0);
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        for number in 0..6 {
+            let id = format!("{number}");
+            let request = match number % 2 {
+                0 => SiteRequest::issue(&id),
+                _ => SiteRequest::lookup(&id),
+            };
+            let answer = site
+                .fetch(0, &request)
+                .await
+                .expect("the gateway should respond");
+            let whole = (200, format!("body of {id}"));
+            match is_reset {
+                false => assert_eq!((answer.status, answer.body), whole),
+                true => assert_eq!(answer.status, 502, "{id}"),
+            }
+        }
+    }
+}
+
 /// Sends streams until one goes to a replica that sends an event each `interval_ms` milliseconds and
 /// is slow to report: it is neither started elsewhere nor given up.
 async fn assert_slow_stream_is_left_alone(name: &str, interval_ms: u64, event_count: u64) {
