Count the crash of a replica for requests whose callers had left

Cause: a crash was counted by the exchange that broke off. When the caller leaves, its exchange ends before the crash, and nothing is left to count.

Change: AbandonedRuns keeps the requests whose callers left for two seconds. A crash that this gateway sees under another request, in a connection that is refused, or hears of from a peer counts for those that the replica had. The list was part of PartLedger, for parts of prompts alone; it moves out and feeds both ledgers.

The stand-in's plain service now goes on when its caller leaves, as some replicas do.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -184,7 +184,10 @@
     let shared_parts = shared_parts.map(|id| PromptPart::new(&admitted.service, *id));
     let context = RequestContext {
         fingerprint,
-        suspect: SuspectRun::new(fingerprint, shared_parts.collect()),
+        suspect: SuspectRun {
+            fingerprint,
+            parts: shared_parts.collect(),
+        },
         crash_series: Mutex::default(),
         is_probe: AtomicBool::new(false),
         parts,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! them out. The names and formats of the deployment's platform are confined to
 //! [`crate::platform`].
 
+pub mod abandoned;
 pub mod attempt_ledger;
 pub mod budget;
 pub mod catalog;
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -9,7 +9,7 @@
 use crate::fingerprint::RequestFingerprint;
 use crate::gateway::crash_ledger::{MAX_CRASHES, QUARANTINE_MS};
 use crate::gateway::forward::RequestContext;
-use crate::gateway::part_ledger::{PartCertainty, PartRuling, PromptPart};
+use crate::gateway::part_ledger::{PartCertainty, PartRuling, PromptPart, ReplicaEnd};
 use crate::gateway::run::Gateway;
 use crate::gateway::state::GatewayState;
 use crate::gateway::sync::{StoreStatus, REGISTRY_WATCH_MS};
@@ -147,7 +147,8 @@
         replica,
         rand::random(),
     );
-    if may_be_cause && state.parts.record_crash(now, replica, &context.suspect) {
+    let is_new = may_be_cause && state.parts.record_crash(now, replica, &context.suspect);
+    if state.blame_abandoned(ReplicaEnd { replica, at: now }) || is_new {
         gateway.peer_update.notify_one();
     }
     drop(state);
--- a/src/gateway/part_ledger.rs
+++ b/src/gateway/part_ledger.rs
@@ -9,7 +9,7 @@
 //! short at first; after it one request is let through, whose answer clears the part or confirms it.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
@@ -53,8 +53,6 @@
 const SUSPECT_RETENTION_MS: u64 = 60_000;
 /// Time for which a cleared part is remembered to tell the peers, milliseconds.
 const CLEARED_RETENTION_MS: u64 = 5_000;
-/// Time for which a request is remembered whose caller left, milliseconds: its replica may crash yet.
-const ABANDONED_MS: u64 = 2_000;
 /// Number of times that each change is reported to the peers, since datagrams get lost.
 const REPORT_REPEATS: u32 = 3;
 /// Upper bound of the changes in one call of [`PartLedger::take_reports`].
@@ -68,8 +66,6 @@
 const MAX_CRASHES_KEPT: usize = 16;
 /// Upper bound of the requests told apart in one crash of a part.
 const MAX_REQUESTS_KEPT: usize = 4;
-/// Upper bound of the abandoned requests, of which the newest are kept.
-const MAX_ABANDONED: usize = 1_024;
 
 /// A part of a prompt that requests share, as one service reads it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -132,21 +128,18 @@
 /// A request at a replica, as far as it may have crashed it.
 #[derive(Clone, Debug)]
 pub struct SuspectRun {
-    /// The request, which is the same when its caller sends it again.
-    pub request: u64,
+    /// Identifies the request when its caller sends it again.
+    pub fingerprint: RequestFingerprint,
     /// Shared parts of its prompt.
     pub parts: Vec<PromptPart>,
 }
 
 impl SuspectRun {
-    /// The run of a request with these shared parts.
-    pub fn new(fingerprint: RequestFingerprint, parts: Vec<PromptPart>) -> SuspectRun {
+    /// Tells the request from the few others in a crash of one part.
+    fn digest(&self) -> u64 {
         let mut start = [0; 8];
-        start.copy_from_slice(&fingerprint.0[..8]);
-        SuspectRun {
-            request: u64::from_be_bytes(start),
-            parts,
-        }
+        start.copy_from_slice(&self.fingerprint.0[..8]);
+        u64::from_be_bytes(start)
     }
 }
 
@@ -275,7 +268,6 @@
     histories: BTreeMap<PromptPart, PartHistory>,
     /// When the last answer began that proves the part.
     proofs: BTreeMap<PromptPart, ClockTime>,
-    abandoned: VecDeque<(ReplicaEnd, SuspectRun)>,
     /// Parts that were released since [`Self::take_released`] was last called.
     released: Vec<PromptPart>,
     /// When this gateway first had anything to record.
@@ -286,30 +278,22 @@
 }
 
 impl PartLedger {
-    /// Records that a replica crashed while it was to begin the answer of a request, and those of
-    /// requests whose callers left shortly before. Returns whether anything is new for the peers.
+    /// Records that a replica crashed while it was to begin the answer of a request. Returns whether
+    /// anything is new for the peers.
     pub fn record_crash(&mut self, now: ClockTime, replica: SocketAddr, run: &SuspectRun) -> bool {
+        self.started_at.get_or_insert(now);
         let end = ReplicaEnd { replica, at: now };
-        let with_abandoned = self.blame_abandoned(now, end);
-        self.blame(now, end, run) || with_abandoned
-    }
-
-    /// Records that a replica cannot be reached: it may have crashed under requests whose callers
-    /// had left. Returns whether anything is new for the peers.
-    pub fn record_unreachable(&mut self, now: ClockTime, replica: SocketAddr) -> bool {
-        self.blame_abandoned(now, ReplicaEnd { replica, at: now })
-    }
-
-    /// Records that the caller of a request left before its answer had gone on for [`PROOF_MS`].
-    pub fn record_abandoned(&mut self, now: ClockTime, replica: SocketAddr, run: SuspectRun) {
-        if run.parts.is_empty() {
-            return;
-        }
-        if self.abandoned.len() >= MAX_ABANDONED {
-            self.abandoned.pop_front();
+        let mut changed = false;
+        for part in &run.parts {
+            if let Some(history) = self.history(now, *part) {
+                if history.add(end, &[run.digest()]) {
+                    history.reports_left = REPORT_REPEATS;
+                    history.observed_here = true;
+                    changed = true;
+                }
+            }
         }
-        self.abandoned
-            .push_back((ReplicaEnd { replica, at: now }, run));
+        changed
     }
 
     /// Records that an answer which began at `began_at` has gone on for [`PROOF_MS`] or completed.
@@ -566,43 +550,6 @@
         proof.is_some_and(|proved_at| now.since(*proved_at) < RECENT_PROOF_MS)
     }
 
-    fn blame_abandoned(&mut self, now: ClockTime, end: ReplicaEnd) -> bool {
-        let expired = |at: ClockTime| now.since(at) >= ABANDONED_MS;
-        while self
-            .abandoned
-            .front()
-            .is_some_and(|(left, _)| expired(left.at))
-        {
-            self.abandoned.pop_front();
-        }
-        let (at_replica, others) = std::mem::take(&mut self.abandoned)
-            .into_iter()
-            .partition(|(left, _)| left.replica == end.replica);
-        self.abandoned = others;
-        let at_replica: VecDeque<(ReplicaEnd, SuspectRun)> = at_replica;
-        let mut changed = false;
-        for (_, run) in at_replica {
-            changed |= self.blame(now, end, &run);
-        }
-        changed
-    }
-
-    /// Adds a crash to the parts of a run. Returns whether anything is new.
-    fn blame(&mut self, now: ClockTime, end: ReplicaEnd, run: &SuspectRun) -> bool {
-        self.started_at.get_or_insert(now);
-        let mut changed = false;
-        for part in &run.parts {
-            if let Some(history) = self.history(now, *part) {
-                if history.add(end, &[run.request]) {
-                    history.reports_left = REPORT_REPEATS;
-                    history.observed_here = true;
-                    changed = true;
-                }
-            }
-        }
-        changed
-    }
-
     fn prove(&mut self, now: ClockTime, part: PromptPart, began_at: ClockTime) {
         let has_room = self.proofs.len() < MAX_PROOFS;
         match self.proofs.get_mut(&part) {
@@ -687,7 +634,6 @@
             if let Some(history) = self.history(now, part) {
                 history.add(end, &crash.requests);
             }
-            self.blame_abandoned(now, end);
         }
         if report.quarantine_ms == 0 {
             return None;
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -10,6 +10,7 @@
 
 use crate::clock::ClockTime;
 use crate::gateway::notice::{judge_parts, keep_part, KeptNotice};
+use crate::gateway::part_ledger::ReplicaEnd;
 use crate::gateway::peer::{PeerReport, LOAD_INTERVAL_MS};
 use crate::gateway::run::Gateway;
 use crate::gateway::task::spawn_lasting;
@@ -154,6 +155,21 @@
     }
 }
 
+/// The crashes of which a peer tells.
+fn crash_ends(now: ClockTime, load: &GatewayLoad) -> Vec<ReplicaEnd> {
+    let of_requests = load.crashes.iter().flat_map(|report| &report.crashes);
+    let of_parts = load.part_crashes.iter().flat_map(|report| &report.crashes);
+    let of_requests = of_requests.map(|crash| (&crash.address, crash.ago_ms));
+    let of_parts = of_parts.map(|crash| (&crash.address, crash.ago_ms));
+    let ends = of_requests.chain(of_parts).filter_map(|(address, ago_ms)| {
+        Some(ReplicaEnd {
+            replica: address.parse().ok()?,
+            at: now - u64::from(ago_ms),
+        })
+    });
+    ends.collect()
+}
+
 fn handle_frame(gateway: &Gateway, frame: &[u8], from: SocketAddr) {
     let envelope = match gateway.config.keys.open(frame) {
         Ok(envelope) => envelope,
@@ -187,6 +203,11 @@
             keep_part(gateway, state, part, Some(certainty));
         }
     }
+    for end in crash_ends(now, &load) {
+        if state.blame_abandoned(end) {
+            gateway.peer_update.notify_one();
+        }
+    }
     if state.apply_peer_version(load.config_version) {
         spdlog::debug!(
             "event=peer_has_newer_config version={} peer={from}",
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -57,8 +57,9 @@
             return None;
         }
     };
-    if head.status.is_success() {
-        attempt.record_end();
+    match head.status.is_success() {
+        true => attempt.record_end(),
+        false => attempt.settle(),
     }
     attempt.release_connection(&meta);
     let mut response = Response::new(buffer.into_body().boxed_unsync());
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,13 +8,14 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::clock::ClockTime;
+use crate::gateway::abandoned::AbandonedRuns;
 use crate::gateway::budget::{BudgetRule, RetryBudget};
 use crate::gateway::catalog::{pick_target, RouteError, RouteTable, ServingConfig, WorkKind};
 use crate::gateway::chain::{choose_chain, ChainHop, ChainQuery};
-use crate::gateway::crash_ledger::CrashLedger;
+use crate::gateway::crash_ledger::{CrashLedger, CrashSeries};
 use crate::gateway::freshness::FreshnessProof;
 use crate::gateway::notice::NoticeQueue;
-use crate::gateway::part_ledger::PartLedger;
+use crate::gateway::part_ledger::{PartLedger, ReplicaEnd};
 use crate::gateway::peer::{LinkKey, PeerTable};
 use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamTable};
 use crate::verdict::{RefusalReason, RequestRefusal};
@@ -150,6 +151,8 @@
     pub crashes: CrashLedger,
     /// Parts of prompts under which replicas crashed, here and at the peers.
     pub parts: PartLedger,
+    /// Requests whose callers left while replicas ran them.
+    pub abandoned: AbandonedRuns,
     /// Notices for the store.
     pub notices: NoticeQueue,
     /// Addresses at which other gateways receive peer messages.
@@ -172,6 +175,7 @@
             peers: PeerTable::default(),
             crashes: CrashLedger::default(),
             parts: PartLedger::default(),
+            abandoned: AbandonedRuns::default(),
             notices: NoticeQueue::default(),
             peer_addresses: Vec::new(),
             peers_read: false,
@@ -339,6 +343,22 @@
         replicas.all(|key| self.upstreams.get(key).registered())
     }
 
+    /// Records the crash of a replica, or that it cannot be reached, for the requests whose callers
+    /// left shortly before. Returns whether anything is new for the peers.
+    pub fn blame_abandoned(&mut self, end: ReplicaEnd) -> bool {
+        let ReplicaEnd { replica, at } = end;
+        let mut changed = false;
+        for run in self.abandoned.take(end) {
+            let (mut series, observation) = (CrashSeries::default(), self.rng.random());
+            let crashes = &mut self.crashes;
+            let counted =
+                crashes.record_crash(at, run.fingerprint, &mut series, replica, observation);
+            let is_new_for_parts = self.parts.record_crash(at, replica, &run);
+            changed |= counted.is_some() || is_new_for_parts;
+        }
+        changed
+    }
+
     /// Takes one retry for a service out of its budget. Returns false if none is left.
     pub fn spend_retry(&mut self, now: ClockTime, service: &str) -> bool {
         let rule = self.setup.budget;
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -14,7 +14,7 @@
 use crate::gateway::attempt_ledger::AttemptFailure;
 use crate::gateway::forward::RequestContext;
 use crate::gateway::notice::{note_crash, note_leaving};
-use crate::gateway::part_ledger::{SuspectRun, PROOF_MS};
+use crate::gateway::part_ledger::{ReplicaEnd, SuspectRun, PROOF_MS};
 use crate::gateway::pool::{connect, UpstreamConnection};
 use crate::gateway::reroute::{check_silent_request, AttemptHealth, SILENCE_CHECK_MS};
 use crate::gateway::run::Gateway;
@@ -60,9 +60,7 @@
         state.release(&self.target);
         if self.progress.is_sent && !self.progress.is_settled {
             let replica = self.target.address;
-            state
-                .parts
-                .record_abandoned(now, replica, self.suspect.clone());
+            state.abandoned.record(now, replica, self.suspect.clone());
         }
     }
 }
@@ -100,6 +98,11 @@
         }
     }
 
+    /// Records that the replica did not crash under the run, which shows nothing of its prompt.
+    pub(super) fn settle(&mut self) {
+        self.progress.is_settled = true;
+    }
+
     fn prove_parts(&mut self, now: ClockTime, began_at: ClockTime) {
         self.progress.is_settled = true;
         let mut state = self.gateway.state();
@@ -192,7 +195,8 @@
                 );
                 let mut state = gateway.state();
                 state.upstreams.suspect(now, key);
-                if state.parts.record_unreachable(now, attempt.target.address) {
+                let replica = attempt.target.address;
+                if state.blame_abandoned(ReplicaEnd { replica, at: now }) {
                     gateway.peer_update.notify_one();
                 }
                 drop(state);
--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -414,10 +414,16 @@
             return refusal(503, None);
         }
         self.record_run(address, headers, body);
-        tokio::time::sleep(Duration::from_millis(SERVICE_TIME_MS)).await;
         if body == CRASHES_FIRST {
-            self.crash(address);
+            // It goes on if its caller leaves.
+            let table = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(SERVICE_TIME_MS)).await;
+                table.crash(address);
+            });
+            tokio::time::sleep(Duration::from_millis(2 * SERVICE_TIME_MS)).await;
         }
+        tokio::time::sleep(Duration::from_millis(SERVICE_TIME_MS)).await;
         let id = match state.fault {
             ReplicaFault::WrongRequestId => "another",
             _ => header_value(headers, "x-attempt-id"),
--- a/standins/tests/crashing.rs
+++ b/standins/tests/crashing.rs
@@ -113,6 +113,35 @@
     assert!(crashes <= MAX_CRASHES, "{crashes}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn request_whose_callers_leave_before_the_crash_is_not_sent_on_for_ever() {
+    let site = start_site("crashing-leaving", 2).await;
+    for round in 0..30 {
+        let request = SiteRequest {
+            id: format!("left-{round}"),
+            ..crashing(SiteRequest::lookup("p"), CRASHES_FIRST)
+        };
+        let left = site.fetch(round % 2, &request);
+        let _ = tokio::time::timeout(Duration::from_millis(10), left).await;
+        // Meets the crashed replica, unless it goes to the other one.
+        for bystander in 0..6 {
+            let request = SiteRequest::lookup(&format!("sound-{round}-{bystander}"));
+            let _ = site.fetch(round % 2, &request).await;
+        }
+        tokio::time::sleep(NOTICE_TIME).await;
+    }
+    let crashes = site.replicas.crashes();
+    assert!(crashes.len() >= MAX_CRASHES, "{}", crashes.len());
+    let third = crashes[MAX_CRASHES - 1];
+    let late = crashes.iter().filter(|at| **at > third + CONTACT_TIME);
+    let late = late.count();
+    assert!(
+        late <= MAX_LATE_RETRIES,
+        "{late} late, {} in all",
+        crashes.len()
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_crashed_replicas_is_refused_after_all_gateways_restart() {
     let mut site = start_site("crashing-restart", 2).await;
--- a/tests/gateway/part_ledger.rs
+++ b/tests/gateway/part_ledger.rs
@@ -26,7 +26,10 @@
 
 fn run(request: u64, ids: &[u128]) -> SuspectRun {
     let fingerprint = RequestFingerprint::of(&[&request.to_le_bytes()]);
-    SuspectRun::new(fingerprint, ids.iter().map(|id| part(*id)).collect())
+    SuspectRun {
+        fingerprint,
+        parts: ids.iter().map(|id| part(*id)).collect(),
+    }
 }
 
 fn replica(number: usize) -> SocketAddr {
@@ -116,25 +119,6 @@
     assert_eq!(ledger.judge(NOW + 1_000), []);
 }
 
-#[test]
-fn part_of_an_abandoned_request_is_blamed_for_the_crash_after_it() {
-    let mut ledger = warm_ledger(&[FIRST]);
-    let mut now = NOW;
-    for number in 0..3 {
-        let left = run(number as u64, &[FIRST, CRASHING]);
-        ledger.record_abandoned(now, replica(number), left);
-        // Only a bystander shows the crash, or the next connection that fails.
-        match number {
-            0 => ledger.record_unreachable(now + 100, replica(number)),
-            _ => ledger.record_crash(now + 100, replica(number), &run(9, &[FIRST, 0xc])),
-        };
-        now = now + 2_000;
-    }
-    let rulings = ledger.judge(now);
-    let parts: Vec<PromptPart> = rulings.iter().map(|ruling| ruling.part).collect();
-    assert_eq!(parts, [part(CRASHING)]);
-}
-
 #[test]
 fn quarantined_part_is_tried_once_and_then_cleared_or_confirmed() {
     for is_sound in [true, false] {
--- a/tests/gateway/state.rs
+++ b/tests/gateway/state.rs
@@ -1,8 +1,12 @@
 //! Tests of admission together with the choice of a target.
 
+use std::net::SocketAddr;
+
 use lynxcart::clock::ClockTime;
+use lynxcart::fingerprint::RequestFingerprint;
 use lynxcart::gateway::budget::BudgetRule;
 use lynxcart::gateway::catalog::{RouteRule, RouteTarget, ServingConfig, TeamRule, WorkKind};
+use lynxcart::gateway::part_ledger::{PromptPart, ReplicaEnd, SuspectRun};
 use lynxcart::gateway::state::{ConfigProof, GatewaySetup, GatewayState, RequestHead};
 use lynxcart::gateway::upstream::{LayerRange, UpstreamEntry, UpstreamKey};
 use lynxcart::verdict::{RefusalReason, RunVerdict};
@@ -327,3 +331,34 @@
     state.upstreams.apply_entry(NOW, next);
     assert!(!state.takes_requests(&target));
 }
+
+#[test]
+fn request_whose_caller_left_is_blamed_for_the_crash_after_it() {
+    let mut state = state();
+    let part = |id| PromptPart::new("model", id);
+    let replica = |number: u8| SocketAddr::from(([10, 0, 0, number], 80));
+    let fingerprint = RequestFingerprint([7; 16]);
+    let sound = [part(1)];
+    state.parts.record_proof(NOW, &sound, NOW);
+    let mut now = NOW + 10_000;
+    for number in 0..4 {
+        let run = SuspectRun {
+            // One comes four times, and another in between.
+            fingerprint: RequestFingerprint([7 + u8::from(number == 3); 16]),
+            parts: vec![part(1), part(2)],
+        };
+        state.abandoned.record(now, replica(number), run);
+        let end = |replica, at| ReplicaEnd { replica, at };
+        // Crashes of another replica, or long after or before, are not theirs.
+        assert!(!state.blame_abandoned(end(replica(number + 1), now)));
+        assert!(!state.blame_abandoned(end(replica(number), now + 2_000)));
+        assert!(!state.blame_abandoned(end(replica(number), now - 400)));
+        assert!(state.blame_abandoned(end(replica(number), now + 100)));
+        assert!(!state.blame_abandoned(end(replica(number), now + 100)));
+        now = now + 2_500;
+    }
+    assert!(state.crashes.quarantine_ms(now, fingerprint).is_some());
+    let rulings = state.parts.judge(now);
+    let parts: Vec<PromptPart> = rulings.iter().map(|ruling| ruling.part).collect();
+    assert_eq!(parts, [part(2)]);
+}
