Confirm a part again when it is tried after its ten minutes

Callers would see: ten minutes after a part of prompts was refused, a request with it sent to a replica each five seconds.

Cause: a crash was weighed against the end of the first quarantine, and a confirmed part was not confirmed again, so that only the pause between two trials was left.

Change: a crash counts if it comes after the quarantine that was ruled last, and confirms the part again. Of two gateways' rulings the surer one holds, then the first one unless the part was confirmed again since.

Evidence: quarantined_part_is_tried_once_and_then_cleared_or_confirmed tries the part three times now; before, no ruling followed the second crash.

--- a/src/gateway/part_ledger.rs
+++ b/src/gateway/part_ledger.rs
@@ -187,11 +187,48 @@
 
 #[derive(Clone, Copy, Debug)]
 struct PartQuarantine {
+    /// When it was ruled last.
     since: ClockTime,
+    /// Until when no request is let through.
     until: ClockTime,
     certainty: PartCertainty,
 }
 
+impl PartQuarantine {
+    fn new(since: ClockTime, certainty: PartCertainty) -> PartQuarantine {
+        PartQuarantine {
+            since,
+            until: since + certainty.quarantine_ms(),
+            certainty,
+        }
+    }
+
+    /// When the first request is let through. Crashes from then on are of requests that tried the
+    /// part again.
+    fn released_at(&self) -> ClockTime {
+        self.since + self.certainty.quarantine_ms()
+    }
+
+    /// Merges what two gateways ruled: the surer one, then the first one unless it was confirmed again
+    /// since.
+    fn merge(self, other: PartQuarantine) -> PartQuarantine {
+        let (first, second) = match self.since <= other.since {
+            true => (self, other),
+            false => (other, self),
+        };
+        let is_again = second.since >= first.released_at();
+        let ruled = match (first.certainty, second.certainty) {
+            (PartCertainty::Suspected, PartCertainty::Confirmed) => second,
+            (PartCertainty::Confirmed, PartCertainty::Confirmed) if is_again => second,
+            _ => first,
+        };
+        PartQuarantine {
+            until: self.until.max(other.until),
+            ..ruled
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct SuspectCrash {
     end: ReplicaEnd,
@@ -244,11 +281,11 @@
         self.crashes.iter().any(|known| known.end.is_same(end))
     }
 
-    /// The crashes after the first quarantine: those of the requests that were let through.
+    /// The crashes after the quarantine: those of the requests that were let through.
     fn ends_after_release(&self) -> impl Iterator<Item = ReplicaEnd> + '_ {
-        let released_at = self.quarantine.map_or(ClockTime::NEVER, |quarantine| {
-            quarantine.since + PROBATION_MS
-        });
+        let released_at = self
+            .quarantine
+            .map_or(ClockTime::NEVER, |quarantine| quarantine.released_at());
         let ends = self.crashes.iter().map(|crash| crash.end);
         ends.filter(move |end| end.at >= released_at)
     }
@@ -375,16 +412,7 @@
         if certainty == PartCertainty::Suspected && self.is_proved_recently(now, part) {
             return false;
         }
-        let until = now + certainty.quarantine_ms();
-        self.apply_quarantine(
-            now,
-            part,
-            PartQuarantine {
-                since: now,
-                until,
-                certainty,
-            },
-        )
+        self.apply_quarantine(now, part, PartQuarantine::new(now, certainty))
     }
 
     /// The parts whose quarantine is confirmed and lasts for `remaining_ms` milliseconds more at
@@ -435,8 +463,8 @@
         rulings
     }
 
-    /// Confirms the parts under which a replica crashed after their first quarantine, unless it was
-    /// to answer another part in quarantine as well.
+    /// Confirms the parts under which a replica crashed after their quarantine, unless it was to
+    /// answer another part in quarantine as well.
     fn confirm(&mut self, now: ClockTime) -> Vec<PartRuling> {
         let quarantined = self.quarantined();
         let is_alone = |part: PromptPart, end: ReplicaEnd| {
@@ -444,11 +472,8 @@
             !others.any(|(_, other)| other.has(end))
         };
         let confirmed = quarantined.iter().filter(|(part, history)| {
-            let is_confirmed = history
-                .quarantine
-                .is_some_and(|quarantine| quarantine.certainty == PartCertainty::Confirmed);
             let mut ends = history.ends_after_release();
-            !is_confirmed && ends.any(|end| now.since(end.at) >= SETTLE_MS && is_alone(*part, end))
+            ends.any(|end| now.since(end.at) >= SETTLE_MS && is_alone(*part, end))
         });
         let certainty = PartCertainty::Confirmed;
         let rulings: Vec<PartRuling> = confirmed
@@ -473,15 +498,12 @@
     }
 
     fn apply_ruling(&mut self, now: ClockTime, ruling: &PartRuling) {
-        let quarantine = PartQuarantine {
-            since: now,
-            until: now + ruling.certainty.quarantine_ms(),
-            certainty: ruling.certainty,
-        };
+        let quarantine = PartQuarantine::new(now, ruling.certainty);
         self.apply_quarantine(now, ruling.part, quarantine);
-        if let Some(history) = self.histories.get_mut(&ruling.part) {
-            history.reports_left = REPORT_REPEATS;
-        }
+        let history = self.histories.get_mut(&ruling.part);
+        let history = history.filter(|history| history.quarantine.is_some());
+        let history = history.expect("a part that is ruled on is quarantined");
+        history.reports_left = REPORT_REPEATS;
     }
 
     /// The candidate to quarantine first.
@@ -499,9 +521,10 @@
         let lone_requests: Vec<(Option<ClockTime>, &PartHistory)> = self
             .histories
             .iter()
+            .filter(|(_, history)| history.crashes.len() >= MIN_CRASHES)
             .filter(|(_, history)| {
                 let crashes: Vec<&SuspectCrash> = history.crashes.iter().collect();
-                crashes.len() >= MIN_CRASHES && is_of_one_request(&crashes)
+                is_of_one_request(&crashes)
             })
             .map(|(part, history)| (self.proofs.get(part).copied(), history))
             .collect();
@@ -594,18 +617,10 @@
             return false;
         };
         let known = history.quarantine;
-        let certainty = match known.map(|known| known.certainty) {
-            Some(PartCertainty::Confirmed) => PartCertainty::Confirmed,
-            _ => quarantine.certainty,
-        };
-        let merged = PartQuarantine {
-            since: known.map_or(quarantine.since, |known| known.since.min(quarantine.since)),
-            until: known.map_or(quarantine.until, |known| known.until.max(quarantine.until)),
-            certainty,
-        };
+        let merged = known.map_or(quarantine, |known| known.merge(quarantine));
         history.quarantine = Some(merged);
         history.expires_at = history.expires_at.max(merged.until + CONFIRMED_MS);
-        known.is_none_or(|known| known.certainty != certainty)
+        known.is_none_or(|known| known.certainty != merged.certainty)
     }
 
     /// Merges a peer's report. Returns the part if it is quarantined, or confirmed, because of this
--- a/tests/gateway/part_ledger.rs
+++ b/tests/gateway/part_ledger.rs
@@ -143,17 +143,23 @@
             assert_eq!(ledger.verdict(now, &parts), PartVerdict::Open);
             continue;
         }
-        ledger.record_crash(now + 100, replica(7), &run(7, &[FIRST, CRASHING]));
-        now = now + 1_000;
-        let rulings = ledger.judge(now);
-        assert_eq!(rulings.len(), 1, "{rulings:?}");
-        assert_eq!(rulings[0].certainty, PartCertainty::Confirmed);
-        assert_eq!(
-            ledger.verdict(now, &parts),
-            PartVerdict::Barred(CONFIRMED_MS)
-        );
-        // Other requests with the first part go on.
-        assert_eq!(ledger.verdict(now, &parts[..1]), PartVerdict::Open);
+        for trial in 0..3 {
+            ledger.record_crash(now + 100, replica(7), &run(7 + trial, &[FIRST, CRASHING]));
+            now = now + 1_000;
+            let rulings = ledger.judge(now);
+            assert_eq!(rulings.len(), 1, "trial {trial}: {rulings:?}");
+            assert_eq!(rulings[0].certainty, PartCertainty::Confirmed);
+            assert_eq!(ledger.judge(now + 300), []);
+            assert_eq!(
+                ledger.verdict(now, &parts),
+                PartVerdict::Barred(CONFIRMED_MS)
+            );
+            // Other requests with the first part go on.
+            assert_eq!(ledger.verdict(now, &parts[..1]), PartVerdict::Open);
+            now = now + CONFIRMED_MS;
+            assert_eq!(ledger.verdict(now, &parts), PartVerdict::Probe);
+            ledger.begin_probe(now, &parts);
+        }
     }
 }
 
