--- a/src/gateway/part_ledger.rs
+++ b/src/gateway/part_ledger.rs
@@ -387,7 +387,7 @@
     }
 
     /// Lets one request through that has quarantined ones among its shared parts, and no other for
-    /// [`PROBE_MS`].
+    /// five seconds.
     pub fn begin_probe(&mut self, now: ClockTime, parts: &[PromptPart]) {
         for part in parts {
             let Some(history) = self.histories.get_mut(part) else {
