Take comments of a stream for no proof of its parts

A comment that keeps a connection alive came before the first event's id as an answer that goes on would. Found by reading, not seen in a run; the tests of crashing_part.rs pass as before.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -187,8 +187,8 @@
                         }
                         self.silent_ms = 0;
                         self.checked_at = now;
+                        self.attempt.record_event();
                     }
-                    self.attempt.record_event();
                     self.gateway.metrics.tokens.inc();
                     return Some(Ok(events));
                 }
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -29,7 +29,8 @@
 /// headers arrive, milliseconds.
 const HEAD_REPORT_INTERVAL_MS: u64 = 400;
 
-/// An attempt at one upstream. Dropping it releases the capacity reserved for it.
+/// An attempt at one upstream. Dropping it releases the capacity reserved for it; if its caller left,
+/// the upstream may yet crash under it, which is remembered.
 #[derive(Debug)]
 pub struct UpstreamAttempt {
     pub(super) gateway: Arc<Gateway>,
@@ -39,6 +40,7 @@
     /// Whether a crash was recorded for the replicas that the request runs on now.
     crash_noted: bool,
     progress: RunProgress,
+    /// What the request is to a replica that crashes under it.
     suspect: SuspectRun,
 }
 
@@ -77,7 +79,7 @@
         context.end_probe();
     }
 
-    /// Records that whole events of the answer arrived. An answer that goes on shows that the parts
+    /// Records that new events of the answer arrived, which comments are not. An answer that goes on shows that the parts
     /// of its prompt are sound.
     pub(super) fn record_event(&mut self) {
         if self.progress.is_settled {
