--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 pub mod placement_runner;
 pub mod plan;
 pub mod pool;
+pub mod rate_limit;
 pub mod relay;
 pub mod repair;
 pub mod reroute;
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -10,6 +10,7 @@
 use crate::gateway::crash_ledger::{MAX_CRASHES, QUARANTINE_MS};
 use crate::gateway::forward::RequestContext;
 use crate::gateway::part_ledger::{PartCertainty, PartRuling, PromptPart, ReplicaEnd};
+use crate::gateway::rate_limit::LimitStatement;
 use crate::gateway::run::Gateway;
 use crate::gateway::state::GatewayState;
 use crate::gateway::sync::{StoreStatus, REGISTRY_WATCH_MS};
@@ -127,6 +128,21 @@
     }
 }
 
+/// Logs what an answer says of the requests a second that its upstream takes. `source` tells what was
+/// answered.
+pub(super) fn note_limit(
+    gateway: &Gateway,
+    key: UpstreamKey,
+    statement: LimitStatement,
+    source: &str,
+) {
+    let mut state = gateway.state();
+    if state.upstreams.note_limit(key, statement) {
+        let id = &state.upstreams.get(key).entry.id;
+        spdlog::info!("event=upstream_limit_named id={id} limit={statement:?} source={source}");
+    }
+}
+
 /// Records that a replica crashed, or was cut off, while it ran a request. `may_be_cause` tells
 /// whether the parts of the prompt may be to blame: the answer had not gone on for long.
 pub(super) fn note_crash(
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -12,12 +12,12 @@
 
 use crate::fetch::read_whole;
 use crate::gateway::forward::RequestContext;
-use crate::gateway::notice::note_leaving;
+use crate::gateway::notice::{note_leaving, note_limit};
 use crate::gateway::run::{Gateway, StalledReport};
 use crate::gateway::state::SendTarget;
 use crate::gateway::upstream::UpstreamKey;
 use crate::gateway::upstream_attempt::UpstreamAttempt;
-use crate::platform::headers::{chain_text, is_leaving};
+use crate::platform::headers::{chain_text, is_leaving, limit_statement};
 use crate::platform::order::{
     decode_report, fault_address, repath_request, report_request, ReplicaReport, StalledRequest,
 };
@@ -361,6 +361,9 @@
         if !is_other && is_leaving(response.headers()) {
             note_leaving(gateway, key);
         }
+        if !is_other {
+            note_limit(gateway, key, limit_statement(response.headers()), "query");
+        }
         let answer = read_whole(response, MAX_ANSWER_BYTES).await;
         answer.map_err(|error| (QueryFailure::Unusable, error))
     };
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -13,7 +13,7 @@
 use crate::clock::ClockTime;
 use crate::gateway::attempt_ledger::AttemptFailure;
 use crate::gateway::forward::RequestContext;
-use crate::gateway::notice::{note_crash, note_leaving};
+use crate::gateway::notice::{note_crash, note_leaving, note_limit};
 use crate::gateway::part_ledger::{ReplicaEnd, SuspectRun, PROOF_MS};
 use crate::gateway::pool::{connect, UpstreamConnection};
 use crate::gateway::reroute::{check_silent_request, AttemptHealth, SILENCE_CHECK_MS};
@@ -332,6 +332,7 @@
     if meta.leaving {
         note_leaving(gateway, target.upstream);
     }
+    note_limit(gateway, target.upstream, meta.limit, "request");
     let (StatusCode::SERVICE_UNAVAILABLE, Some(rest_ms)) = (status, meta.rest_ms) else {
         return;
     };
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -9,6 +9,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request};
 
+use crate::gateway::rate_limit::LimitStatement;
 use crate::gateway::upstream::LayerRange;
 use crate::store::position::EraStatement;
 
@@ -31,6 +32,7 @@
 const AT_SERVER: HeaderName = HeaderName::from_static("at-server");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
@@ -224,7 +226,7 @@
 }
 
 /// Values parsed from the headers of an upstream's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMeta {
     /// Whether the response carries exactly one request id, that of the request that was sent.
     pub has_request_id: bool,
@@ -250,6 +252,8 @@
     /// How long the upstream asks to be left alone (`retry-after`), milliseconds; `None` if it does
     /// not, or asks in a form that is not believed.
     pub rest_ms: Option<u64>,
+    /// What the response says of the requests a second that the upstream takes (`server-limit`).
+    pub limit: LimitStatement,
 }
 
 /// Longest time for which an upstream is left alone because it asks for it, milliseconds. A longer
@@ -261,6 +265,13 @@
     header_text(headers, &SERVER_LEAVING) == "1"
 }
 
+/// Parses how many requests a second the upstream of a response takes from all gateways together.
+pub fn limit_statement(headers: &HeaderMap) -> LimitStatement {
+    let values = headers.get_all(SERVER_LIMIT).iter();
+    // A value that is not text is no number either.
+    LimitStatement::from_values(values.map(|value| value.to_str().unwrap_or("?")))
+}
+
 /// Parses how long an upstream asks to be left alone: seconds, which may include fractions.
 fn rest_ms(headers: &HeaderMap) -> Option<u64> {
     let text = header_text(headers, &RETRY_AFTER);
@@ -309,6 +320,7 @@
         idle_ms: idle_s.map(|seconds| seconds.saturating_mul(1_000)),
         leaving: is_leaving(headers),
         rest_ms: rest_ms(headers),
+        limit: limit_statement(headers),
     }
 }
 
