--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -88,8 +88,12 @@
     pub leaving: bool,
     /// Text of `retry-after` with which each request is refused; empty for none.
     pub rest: &'static str,
+    /// Values of `server-limit` in every answer; empty for none.
+    pub limits: &'static [&'static str],
     /// Number of callers' requests that reached the replica, also those that it refused.
     pub arrivals: u32,
+    /// Times at which requests of any kind reached the replica, those of the gateways' own included.
+    pub arrived_at: Vec<Instant>,
 }
 
 /// One run of a request by a replica, recorded when it starts.
@@ -286,6 +290,7 @@
         if before.crashed {
             return no_response();
         }
+        self.change(address, |state| state.arrived_at.push(Instant::now()));
         let leaving = before.leaving;
         let request_id = request.headers().get("x-attempt-id").cloned();
         let mut response = self.clone().handle_request(address, request).await;
@@ -298,6 +303,10 @@
             let headers = response.headers_mut();
             headers.entry("x-attempt-id").or_insert(id);
         }
+        for limit in before.limits {
+            let value = http::HeaderValue::from_static(limit);
+            response.headers_mut().append("server-limit", value);
+        }
         if leaving {
             let value = http::HeaderValue::from_static("1");
             response.headers_mut().insert("server-leaving", value);
