Keep the limits that replicas name as sums over all gateways

What callers saw: nothing; the replicas did. One that named 13.7 requests a second got 142 in 4 s (87 allowed), one that named 1 got 13 (11 allowed), since no gateway read the limit.

Cause: a bound of an upstream on all gateways together, which no decision knew.

Change: PermitTable. Each gateway accrues an equal share of a limit as permits, fractions included, and a request to the upstream spends one. What a gateway does not keep goes to one that collects it, and from there to whichever gateway asks. Permits are spent, given or dropped and never copied, so that the sum holds whichever messages are lost and whatever gateways believe of each other; only who accrues counts, and there gateways that leave count on for 5 s, new ones begin after 2 s and isolated ones end after 10 s. Shares far below one request in 4 s are used, since fractions meet at the collector. Callers' requests, retries, resumed streams, reroutes and queries need a permit; orders of layers spend one of the next. The first replica of a chain needs one, later ones get no request from a gateway. A request that only limits keep out is refused at once, with Retry-After one after the other. Answers in any form name, change and end a limit; of answers that overtook each other the stricter counts. Peers are told.

Ruled out: one gateway that grants all permits (two of them, while gateways disagree, would double the limit); equal shares alone (of 300 gateways none could ever send at 1 a second).

--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -390,8 +390,11 @@
             | Body::StageClose(_)
             | Body::OperationCall(_)
             | Body::OperationStrike(_)
-            // Only gateways handle this.
-            | Body::GatewayLoad(_) => {}
+            // Only gateways handle these.
+            | Body::GatewayLoad(_)
+            | Body::PermitAsk(_)
+            | Body::PermitAnswer(_)
+            | Body::PermitGifts(_) => {}
         }
     }
 
--- a/src/gateway/chain.rs
+++ b/src/gateway/chain.rs
@@ -7,6 +7,7 @@
 use crate::clock::ClockTime;
 use crate::gateway::catalog::EngineRule;
 use crate::gateway::peer::{LinkKey, PeerTable};
+use crate::gateway::permit_table::PermitTable;
 use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamRecord, UpstreamTable};
 
 /// Upper bound of the random part of a hop's cost, relative to that cost. It keeps gateways with
@@ -15,6 +16,9 @@
 /// Part of a replica's KV memory that requests may fill. A request that would fill more is not sent
 /// there, unless the replica already holds its KV cache.
 const MAX_FILL: f64 = 0.97;
+/// Factor on the cost of a hop at a replica with a limit whose answers were not heard for long, which
+/// is the only way to learn that the limit has ended.
+const UNHEARD_FACTOR: f64 = 0.25;
 /// Factor on a replica's recent failure rate in the cost of a hop.
 const FAILURE_FACTOR: f64 = 2.0;
 /// Factor on the time for which a request occupies a cross-domain link in the cost of that link,
@@ -64,6 +68,8 @@
     pub current: &'a [UpstreamKey],
     /// Load that other gateways report, and this gateway's use of links.
     pub peers: &'a PeerTable,
+    /// Limits of the replicas, which count for the first one of a chain. `None` to disregard them.
+    pub permits: Option<&'a PermitTable>,
 }
 
 /// Whether `chain` runs the first `layers` layers of a model once and in order, with no replica
@@ -110,7 +116,16 @@
         let first = query.pinned_first.is_some_and(|hop| hop.upstream == key);
         let fits = record.entry.service == query.service && !record.entry.layers.is_empty();
         if fits && (first || (record.usable(query.now) && !query.avoid.contains(&key))) {
-            let noise = 1.0 + COST_NOISE * rng.random::<f64>();
+            // Only the first replica of a chain gets requests from gateways.
+            let permits = query
+                .permits
+                .filter(|_| record.entry.layers.from == 0 && !first);
+            if permits.is_some_and(|permits| !permits.may_request(query.now, key)) {
+                continue;
+            }
+            let is_unheard = permits.is_some_and(|permits| permits.is_unheard(query.now, key));
+            let preference = if is_unheard { UNHEARD_FACTOR } else { 1.0 };
+            let noise = preference * (1.0 + COST_NOISE * rng.random::<f64>());
             candidates.push((key, record, noise));
         }
     }
--- a/src/gateway/discovery.rs
+++ b/src/gateway/discovery.rs
@@ -113,11 +113,7 @@
                 let others = known.values().copied().filter(|address| *address != own);
                 let mut others: Vec<SocketAddr> = others.collect();
                 others.sort_unstable();
-                gateway.state().peers_read = true;
-                if gateway.state().peer_addresses != others {
-                    spdlog::info!("event=gateways_updated known={}", others.len() + 1);
-                    gateway.state().peer_addresses = others;
-                }
+                apply_gateways(&gateway, others);
                 tokio::time::sleep(Duration::from_millis(DISCOVERY_PAUSE_MS)).await;
             }
             Err(error) => status.back_off(gateway.clock.now(), &error).await,
@@ -125,6 +121,18 @@
     }
 }
 
+/// Puts the addresses of the other gateways in use.
+fn apply_gateways(gateway: &Gateway, others: Vec<SocketAddr>) {
+    let mut state = gateway.state();
+    state.peers_read = true;
+    let now = gateway.clock.now();
+    state.permits.set_registered(now, &others);
+    if state.peer_addresses != others {
+        spdlog::info!("event=gateways_updated known={}", others.len() + 1);
+        state.peer_addresses = others;
+    }
+}
+
 async fn read_gateways(
     store: &KvStore,
     known: &mut HashMap<String, SocketAddr>,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -20,7 +20,9 @@
 use crate::gateway::catalog::WorkKind;
 use crate::gateway::crash_ledger::CrashSeries;
 use crate::gateway::part_ledger::{PartVerdict, PromptPart, SuspectRun};
+use crate::gateway::permit::acquire_permit;
 use crate::gateway::relay;
+use crate::gateway::reserved_target::ReservedTarget;
 use crate::gateway::response::{collect_response, record_response, refuse, GatewayBody};
 use crate::gateway::run::Gateway;
 use crate::gateway::state::{AdmittedRequest, GatewayState, RequestHead, SendTarget};
@@ -41,6 +43,8 @@
 /// Longest wait of an interrupted stream for free capacity in another chain, counted from the
 /// failure, milliseconds. It is shorter than the pause between events that callers tolerate.
 const MAX_RESUME_WAIT_MS: u64 = 1_200;
+/// Number of permits denied to one request after which this gateway asks for none for a while.
+const MAX_DENIALS: u32 = 4;
 /// Interval between two checks for free capacity, milliseconds.
 const CAPACITY_POLL_MS: u64 = 25;
 
@@ -344,39 +348,25 @@
     avoid: &[UpstreamKey],
     wait_until: ClockTime,
 ) -> Result<SendTarget, AttemptError> {
-    let admitted = &context.admitted;
+    let mut denials = 0;
     loop {
         let now = gateway.clock.now();
-        let refusal = {
-            let mut state = gateway.state();
-            if now >= admitted.deadline {
-                let detail = "the deadline passed before the request could be sent";
-                RequestRefusal::not_run(RefusalReason::Deadline, detail)
-            } else if let Some(remaining_ms) = context.bar_ms(now, &state) {
-                let detail = "replicas crashed while they ran this request or others like it";
-                RequestRefusal::not_run(RefusalReason::Quarantined, detail)
-                    .retry_after(remaining_ms)
-            } else if !state.may_still_send(now, admitted) {
-                RequestRefusal::not_run(
-                    RefusalReason::PlatformOutage,
-                    "the configuration cannot be shown to be the newest",
-                )
-                .retry_after(1_000)
-            } else {
-                match state.choose_target(now, admitted, avoid, None) {
-                    Ok(target) => {
-                        if ledger.is_retry() && !state.spend_retry(now, &admitted.service) {
-                            state.release(&target);
-                            let detail = "the budget of repeats is used up";
-                            RequestRefusal::not_run(RefusalReason::Busy, detail).retry_after(1_000)
-                        } else {
-                            context.begin_probe(now, &mut state);
-                            return Ok(target);
-                        }
+        let chosen = choose_target(gateway, context, now, avoid);
+        let refusal = match chosen {
+            Ok(target) => {
+                if !acquire_permit(gateway, target.get().upstream).await {
+                    denials += 1;
+                    if denials % MAX_DENIALS == 0 {
+                        gateway.state().permits.pause_asks(now);
                     }
+                    continue;
+                }
+                match begin_attempt(gateway, context, ledger, target) {
+                    Ok(target) => return Ok(target),
                     Err(refusal) => refusal,
                 }
             }
+            Err(refusal) => refusal,
         };
         if refusal.reason != RefusalReason::NoUpstream || now >= wait_until {
             return Err(AttemptError::Refused(RequestRefusal {
@@ -388,6 +378,56 @@
     }
 }
 
+/// Chooses a target for a request, if the request may be sent at all.
+fn choose_target(
+    gateway: &Arc<Gateway>,
+    context: &RequestContext,
+    now: ClockTime,
+    avoid: &[UpstreamKey],
+) -> Result<ReservedTarget, RequestRefusal> {
+    let admitted = &context.admitted;
+    let mut state = gateway.state();
+    if now >= admitted.deadline {
+        let detail = "the deadline passed before the request could be sent";
+        return Err(RequestRefusal::not_run(RefusalReason::Deadline, detail));
+    }
+    if let Some(remaining_ms) = context.bar_ms(now, &state) {
+        let detail = "replicas crashed while they ran this request or others like it";
+        let refusal = RequestRefusal::not_run(RefusalReason::Quarantined, detail);
+        return Err(refusal.retry_after(remaining_ms));
+    }
+    if !state.may_still_send(now, admitted) {
+        let detail = "the configuration cannot be shown to be the newest";
+        let refusal = RequestRefusal::not_run(RefusalReason::PlatformOutage, detail);
+        return Err(refusal.retry_after(1_000));
+    }
+    let target = state.choose_target(now, admitted, avoid, None)?;
+    drop(state);
+    Ok(ReservedTarget::new(gateway, target))
+}
+
+/// Begins an attempt at a target for which there is a permit: takes a retry out of the budget, and
+/// begins to try a part of the prompt again. Without a retry the permit is kept for another request.
+fn begin_attempt(
+    gateway: &Gateway,
+    context: &RequestContext,
+    ledger: &AttemptLedger,
+    target: ReservedTarget,
+) -> Result<SendTarget, RequestRefusal> {
+    let now = gateway.clock.now();
+    let mut state = gateway.state();
+    if ledger.is_retry() && !state.spend_retry(now, &context.admitted.service) {
+        state.permits.receive(now, target.get().upstream, 1.0);
+        drop(state);
+        let detail = "the budget of repeats is used up";
+        let refusal = RequestRefusal::not_run(RefusalReason::Busy, detail);
+        return Err(refusal.retry_after(1_000));
+    }
+    context.begin_probe(now, &mut state);
+    drop(state);
+    Ok(target.take())
+}
+
 /// Records a failed attempt. Returns `None` if the request is retried, else the refusal for the
 /// caller, which is logged and counted even if the caller gets an earlier error response instead.
 fn handle_failure(
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -10,6 +10,7 @@
 use crate::gateway::crash_ledger::{MAX_CRASHES, QUARANTINE_MS};
 use crate::gateway::forward::RequestContext;
 use crate::gateway::part_ledger::{PartCertainty, PartRuling, PromptPart, ReplicaEnd};
+use crate::gateway::permit_table::LimitChange;
 use crate::gateway::rate_limit::LimitStatement;
 use crate::gateway::run::Gateway;
 use crate::gateway::state::GatewayState;
@@ -128,19 +129,47 @@
     }
 }
 
-/// Logs what an answer says of the requests a second that its upstream takes. `source` tells what was
-/// answered.
+/// Records what an answer says of the limit of its upstream: this gateway keeps to it from now on, and
+/// the peers are told of a change. `asked_at` is when the request was sent that it answers.
 pub(super) fn note_limit(
     gateway: &Gateway,
     key: UpstreamKey,
     statement: LimitStatement,
-    source: &str,
+    asked_at: ClockTime,
 ) {
     let mut state = gateway.state();
-    if state.upstreams.note_limit(key, statement) {
+    if statement == LimitStatement::Garbled {
         let id = &state.upstreams.get(key).entry.id;
-        spdlog::info!("event=upstream_limit_named id={id} limit={statement:?} source={source}");
+        spdlog::warn!("event=upstream_limit_ignored id={id} expected=\"requests a second\"");
+        return;
     }
+    let change = state.apply_limit(gateway.clock.now(), key, statement, asked_at);
+    if let Some(change) = change {
+        log_limit_change(gateway, &state, key, change, "");
+        drop(state);
+        gateway.peer_update.notify_one();
+    }
+}
+
+/// Logs a change of the limit of an upstream. `peer` names the peer that told it, if any.
+pub(super) fn log_limit_change(
+    gateway: &Gateway,
+    state: &GatewayState,
+    key: UpstreamKey,
+    change: LimitChange,
+    peer: &str,
+) {
+    let text = |limit: Option<f64>| limit.map_or_else(|| "none".to_owned(), |it| it.to_string());
+    spdlog::info!(
+        "event=upstream_limit_changed id={} limit={} previous={} share={:.3} {peer}",
+        state.upstreams.get(key).entry.id,
+        text(change.current),
+        text(change.previous),
+        state.permits.share_per_s(key).unwrap_or(0.0)
+    );
+    let limited = state.permits.limited_upstreams();
+    let limited = i64::try_from(limited).unwrap_or(i64::MAX);
+    gateway.metrics.limited_upstreams.set(limited);
 }
 
 /// Records that a replica crashed, or was cut off, while it ran a request. `may_be_cause` tells
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -9,13 +9,17 @@
 use tokio::net::UdpSocket;
 
 use crate::clock::ClockTime;
-use crate::gateway::notice::{judge_parts, keep_part, KeptNotice};
+use crate::gateway::notice::{judge_parts, keep_part, log_limit_change, KeptNotice};
 use crate::gateway::part_ledger::ReplicaEnd;
 use crate::gateway::peer::{PeerReport, LOAD_INTERVAL_MS};
+use crate::gateway::permit::{answer_ask, give_permits, named_upstream, take_answer, take_gifts};
+use crate::gateway::permit_table::GIFT_INTERVAL_MS;
+use crate::gateway::rate_limit::StatedLimit;
 use crate::gateway::run::Gateway;
+use crate::gateway::state::GatewayState;
 use crate::gateway::task::spawn_lasting;
 use crate::wire::gen::envelope::Body;
-use crate::wire::gen::{Envelope, GatewayLoad};
+use crate::wire::gen::{Envelope, GatewayLoad, PermitAsk, UpstreamLimit};
 use crate::wire::WIRE_VERSION;
 
 /// Gap between two runs of the sending task from which the process counts as paused, milliseconds.
@@ -26,6 +30,8 @@
 /// Upper bound of the parts of prompts with crashes in one message, so that those with most crashes
 /// fit into the receive buffer.
 const MAX_PARTS_PER_MESSAGE: usize = 6;
+/// Upper bound of the limits in one message, so that it fits into one packet.
+const MAX_LIMITS_PER_MESSAGE: usize = 24;
 /// Size of the receive buffer, bytes. The rest of a larger datagram is cut off.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
@@ -39,7 +45,12 @@
     let socket = UdpSocket::bind(address)
         .await
         .wrap_err_with(|| format!("could not bind the peer address {address}"))?;
-    let socket = Arc::new(socket);
+    // The socket is bound once.
+    let socket = gateway
+        .permit_asks
+        .socket
+        .get_or_init(|| Arc::new(socket))
+        .clone();
     let incarnation = rand::random();
     let pulse = Arc::new(LoopPulse::default());
     pulse.beat(gateway.clock.now());
@@ -52,6 +63,10 @@
             receiving_pulse.clone(),
         )
     });
+    let giving_gateway = gateway.clone();
+    spawn_lasting("permit_gifts", move || {
+        give_permits_lastingly(giving_gateway.clone())
+    });
     spawn_lasting("peer_send", move || {
         send_loads(gateway.clone(), socket.clone(), pulse.clone(), incarnation)
     });
@@ -75,6 +90,14 @@
     }
 }
 
+async fn give_permits_lastingly(gateway: Arc<Gateway>) {
+    let mut tick = tokio::time::interval(Duration::from_millis(GIFT_INTERVAL_MS));
+    loop {
+        tick.tick().await;
+        give_permits(&gateway).await;
+    }
+}
+
 /// When the sending task last ran. Messages that arrive long after it were held up with the whole
 /// process: they lay in the socket while the VM was suspended or starved, and tell of the past.
 #[derive(Debug, Default)]
@@ -118,6 +141,12 @@
             crashes: chunk.to_vec(),
             ..GatewayLoad::default()
         }));
+        let limits = limit_reports(now, state);
+        let chunks = limits.chunks(MAX_LIMITS_PER_MESSAGE);
+        messages.extend(chunks.map(|chunk| GatewayLoad {
+            limits: chunk.to_vec(),
+            ..GatewayLoad::default()
+        }));
         state.upstreams.reset_unreported();
         (messages, state.peer_addresses.clone())
     };
@@ -138,6 +167,34 @@
     }
 }
 
+/// The limits to tell the peers: those that changed, and at times all, which those need that started
+/// since.
+fn limit_reports(now: ClockTime, state: &mut GatewayState) -> Vec<UpstreamLimit> {
+    let reports = state.permits.take_reports(now);
+    let reports = reports.into_iter().map(|(key, stated)| {
+        let entry = &state.upstreams.get(key).entry;
+        stated.encode(now, entry.address, entry.born)
+    });
+    reports.collect()
+}
+
+/// Applies what a peer heard from an upstream.
+fn apply_limit(
+    gateway: &Gateway,
+    state: &mut GatewayState,
+    limit: &UpstreamLimit,
+    from: SocketAddr,
+) {
+    let Some(key) = named_upstream(state, &limit.address, limit.born) else {
+        return;
+    };
+    let now = gateway.clock.now();
+    let stated = StatedLimit::decode(now, limit);
+    if let Some(change) = state.apply_stated_limit(now, key, stated) {
+        log_limit_change(gateway, state, key, change, &format!("peer={from}"));
+    }
+}
+
 async fn receive(gateway: Arc<Gateway>, socket: Arc<UdpSocket>, pulse: Arc<LoopPulse>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
@@ -146,7 +203,11 @@
             Ok((_, from)) if pulse.was_paused(gateway.clock.now()) => {
                 spdlog::debug!("event=load_dropped peer={from} error=held_up");
             }
-            Ok((length, from)) => handle_frame(&gateway, &buffer[..length], from),
+            Ok((length, from)) => {
+                if let Some(ask) = handle_frame(&gateway, &buffer[..length], from) {
+                    answer_ask(&gateway, ask, from).await;
+                }
+            }
             Err(error) => {
                 spdlog::debug!("event=load_receive_failed error=\"{error}\"");
                 tokio::time::sleep(Duration::from_millis(LOAD_INTERVAL_MS)).await;
@@ -170,20 +231,33 @@
     ends.collect()
 }
 
-fn handle_frame(gateway: &Gateway, frame: &[u8], from: SocketAddr) {
+/// Applies a message. Returns the ask for a permit that it contains, which is to be answered.
+fn handle_frame(gateway: &Gateway, frame: &[u8], from: SocketAddr) -> Option<PermitAsk> {
     let envelope = match gateway.config.keys.open(frame) {
         Ok(envelope) => envelope,
         Err(error) => {
             spdlog::warn!("event=load_dropped peer={from} error={error}");
-            return;
+            return None;
         }
     };
-    let Some(Body::GatewayLoad(load)) = envelope.body else {
-        spdlog::warn!("event=load_dropped peer={from} error=unexpected_message");
-        return;
-    };
+    let now = gateway.clock.now();
+    gateway.state().permits.record_heard(now, from);
+    match envelope.body {
+        Some(Body::GatewayLoad(load)) => apply_load(gateway, &envelope.sender, &load, from),
+        Some(Body::PermitAsk(ask)) => return Some(ask),
+        Some(Body::PermitAnswer(answer)) => take_answer(gateway, &answer),
+        Some(Body::PermitGifts(gifts)) => take_gifts(gateway, &gifts),
+        _ => spdlog::warn!("event=load_dropped peer={from} error=unexpected_message"),
+    }
+    None
+}
+
+fn apply_load(gateway: &Gateway, sender: &str, load: &GatewayLoad, from: SocketAddr) {
     let now = gateway.clock.now();
     let state = &mut *gateway.state();
+    for limit in &load.limits {
+        apply_limit(gateway, state, limit, from);
+    }
     for report in &load.crashes {
         if let Some(fingerprint) = state.crashes.apply_report(now, report) {
             spdlog::warn!("event=request_quarantined fingerprint={fingerprint} peer={from}");
@@ -203,7 +277,7 @@
             keep_part(gateway, state, part, Some(certainty));
         }
     }
-    for end in crash_ends(now, &load) {
+    for end in crash_ends(now, load) {
         if state.blame_abandoned(end) {
             gateway.peer_update.notify_one();
         }
@@ -216,7 +290,7 @@
     }
     for update in state
         .peers
-        .apply_report(now, &envelope.sender, &load, &state.upstreams)
+        .apply_report(now, sender, load, &state.upstreams)
     {
         match update {
             PeerReport::ReportedDead(key, ago_ms) => {
--- a/src/gateway/placement_runner.rs
+++ b/src/gateway/placement_runner.rs
@@ -33,6 +33,9 @@
 const SLOWDOWN_QUERY_MS: u64 = 2_000;
 /// Time over which the slowdown queries of one round are spread, milliseconds.
 const SLOWDOWN_SPREAD_MS: u64 = 1_500;
+/// A replica with a lower limit is queried only if it is not heard otherwise, requests a second: the
+/// queries would take a good part of the limit.
+const MIN_QUERIED_LIMIT_PER_S: f64 = 5.0;
 /// Number of times that a new lease holder asks for the stored plan.
 const PLAN_READ_ATTEMPTS: u32 = 3;
 /// Pause after a failed read of the stored plan, milliseconds.
@@ -131,6 +134,11 @@
         let upstreams = state.upstreams.iter();
         upstreams
             .filter(|(_, record)| record.usable(now) && !record.entry.layers.is_empty())
+            .filter(|(key, _)| {
+                let limit = state.permits.limit(*key);
+                let is_ample = limit.is_none_or(|limit| limit >= MIN_QUERIED_LIMIT_PER_S);
+                is_ample || state.permits.is_unheard(now, *key)
+            })
             .map(|(key, record)| (key, record.entry.address, record.entry.id.clone()))
             .collect()
     };
@@ -400,6 +408,8 @@
         spdlog::error!("event=order_encode_failed upstream={id} error=\"{error:#}\"");
         return OrderReply::Rejected;
     }
+    let now = gateway.clock.now();
+    gateway.state().permits.spend(now, order.upstream);
     match send_to_replica(gateway, order.upstream, request, ORDER_TIMEOUT_MS).await {
         Ok((status, body)) => {
             if status >= 300 {
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -13,6 +13,7 @@
 use crate::fetch::read_whole;
 use crate::gateway::forward::RequestContext;
 use crate::gateway::notice::{note_leaving, note_limit};
+use crate::gateway::permit::acquire_permit;
 use crate::gateway::run::{Gateway, StalledReport};
 use crate::gateway::state::SendTarget;
 use crate::gateway::upstream::UpstreamKey;
@@ -26,6 +27,8 @@
 pub const SILENCE_CHECK_MS: u64 = 100;
 /// Age below which a replica's cached report is reused, milliseconds.
 const MAX_REPORT_AGE_MS: u64 = 50;
+/// Age below which the cached report of a replica with a limit is reused, milliseconds.
+const MAX_LIMITED_REPORT_AGE_MS: u64 = 400;
 /// Timeout of a report query to a replica, milliseconds.
 const REPORT_TIMEOUT_MS: u64 = 250;
 /// Timeout of an order to reroute a request, milliseconds.
@@ -75,6 +78,7 @@
     let first = attempt.target.upstream;
     let stalled = match fetch_stalled(gateway, &attempt.target).await {
         Ok(stalled) => stalled,
+        Err(QueryFailure::Limited) => Arc::default(),
         Err(failure) => {
             // Lets the connection read events that have arrived, which are signs of life.
             tokio::task::yield_now().await;
@@ -205,7 +209,8 @@
 enum RerouteOutcome {
     /// The first replica accepted the order.
     Applied,
-    /// The order was refused, or no reply arrived and it may have been applied. Carries the replica
+    /// The order was not sent, since the first replica takes no more requests now, or was refused, or no
+    /// reply arrived and it may have been applied. Carries the replica
     /// that the refusal names as faulty, or `None` if there is none.
     Failed(Option<UpstreamKey>),
 }
@@ -219,6 +224,8 @@
     Failed,
     /// The answer is not usable: a refusal, too large or malformed.
     Unusable,
+    /// It was not sent, since the replica takes no more requests now.
+    Limited,
 }
 
 /// Returns the requests that the first replica of a chain reports as stalled, from a cached report
@@ -239,8 +246,12 @@
             .unwrap_or_else(PoisonError::into_inner);
         cached_reports.get(&target.upstream).cloned()
     };
+    let max_age_ms = match gateway.state().permits.is_limited(target.upstream) {
+        true => MAX_LIMITED_REPORT_AGE_MS,
+        false => MAX_REPORT_AGE_MS,
+    };
     if let Some(report) =
-        cached.filter(|report| requested_at.since(report.requested_at) < MAX_REPORT_AGE_MS)
+        cached.filter(|report| requested_at.since(report.requested_at) < max_age_ms)
     {
         return Ok(report.stalled);
     }
@@ -275,6 +286,10 @@
     target: SendTarget,
     fault: Option<SocketAddr>,
 ) -> RerouteOutcome {
+    if !acquire_permit(gateway, target.upstream).await {
+        gateway.state().release(&target);
+        return RerouteOutcome::Failed(None);
+    }
     let order = repath_request(
         target.address,
         &target.upstream_id,
@@ -318,6 +333,9 @@
     address: SocketAddr,
     id: &str,
 ) -> Result<ReplicaReport, QueryFailure> {
+    if !acquire_permit(gateway, key).await {
+        return Err(QueryFailure::Limited);
+    }
     let request = report_request(address);
     let sent_at = gateway.clock.now();
     let answer = send_to_replica(gateway, key, request, REPORT_TIMEOUT_MS).await;
@@ -353,6 +371,7 @@
         spdlog::error!("event=replica_request_encode_failed error=\"{error:#}\"");
         QueryFailure::Failed
     })?;
+    let sent_at = gateway.clock.now();
     let exchange = async {
         let response = gateway.client.request(request).await;
         let response = response.map_err(|error| (QueryFailure::Failed, eyre!(error)))?;
@@ -362,7 +381,7 @@
             note_leaving(gateway, key);
         }
         if !is_other {
-            note_limit(gateway, key, limit_statement(response.headers()), "query");
+            note_limit(gateway, key, limit_statement(response.headers()), sent_at);
         }
         let answer = read_whole(response, MAX_ANSWER_BYTES).await;
         answer.map_err(|error| (QueryFailure::Unusable, error))
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -16,6 +16,7 @@
 use crate::clock::{BootClock, ClockTime};
 use crate::config::GatewayConfig;
 use crate::fetch::{self, HttpClient};
+use crate::gateway::permit::PermitAsks;
 use crate::gateway::pool::ConnectionPool;
 use crate::gateway::response_buffer::BufferedBytes;
 use crate::gateway::state::{GatewaySetup, GatewayState};
@@ -79,6 +80,8 @@
     pub metrics: MetricSet,
     /// Notified to send load messages to the peers at once, without waiting for the next interval.
     pub peer_update: Notify,
+    /// Asks for permits of other gateways.
+    pub permit_asks: PermitAsks,
     /// Notified when there is a notice to write to the store.
     pub notice_update: Notify,
     /// Cached reports of stalled requests, by the replica that was queried.
@@ -127,6 +130,7 @@
         domain: config.failure_domain.clone(),
         revoke_ms: config.revoke_ms,
         budget: config.budget,
+        message_address: config.message_address,
         rng_seed: rand::random(),
     });
     let store = KvStore::new(config.platform_address.to_string());
@@ -139,6 +143,7 @@
         client: fetch::client(),
         metrics: MetricSet::new()?,
         peer_update: Notify::new(),
+        permit_asks: PermitAsks::default(),
         notice_update: Notify::new(),
         stalled_reports: Mutex::default(),
         shutdown,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,6 +17,8 @@
 use crate::gateway::notice::NoticeQueue;
 use crate::gateway::part_ledger::{PartLedger, ReplicaEnd};
 use crate::gateway::peer::{LinkKey, PeerTable};
+use crate::gateway::permit_table::{LimitChange, PermitTable};
+use crate::gateway::rate_limit::{LimitStatement, StatedLimit};
 use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamTable};
 use crate::verdict::{RefusalReason, RequestRefusal};
 
@@ -25,6 +27,9 @@
 const UNREADY_RETRY_MS: u64 = 100;
 /// `retry_after_ms` of a refusal because no chain or replica can take the request, milliseconds.
 const NO_UPSTREAM_RETRY_MS: u64 = 500;
+/// Latest time at which a caller is told to come back that only limits keep from being served,
+/// milliseconds from now.
+const MAX_RETURN_MS: u64 = 4_000;
 /// Time from the first answer of the store within which a peer tells a VM that has just started
 /// which version of the configuration it has, milliseconds: it finds the new VM in the store, and
 /// then reports to it at once.
@@ -46,6 +51,8 @@
     pub revoke_ms: Option<u64>,
     /// The deployment's retry budget.
     pub budget: BudgetRule,
+    /// Address at which this gateway receives peer messages.
+    pub message_address: SocketAddr,
     /// Seed of the random number generator.
     pub rng_seed: u64,
 }
@@ -151,6 +158,8 @@
     pub crashes: CrashLedger,
     /// Parts of prompts under which replicas crashed, here and at the peers.
     pub parts: PartLedger,
+    /// Limits that upstreams name, and this gateway's share of each.
+    pub permits: PermitTable,
     /// Requests whose callers left while replicas ran them.
     pub abandoned: AbandonedRuns,
     /// Notices for the store.
@@ -163,6 +172,8 @@
     pub draining: bool,
     setup: GatewaySetup,
     budgets: HashMap<String, RetryBudget>,
+    /// When the next caller is told to come back that no replica of a service could take, by service.
+    return_times: HashMap<String, ClockTime>,
     rng: Pcg64Mcg,
 }
 
@@ -175,6 +186,8 @@
             peers: PeerTable::default(),
             crashes: CrashLedger::default(),
             parts: PartLedger::default(),
+            permits: PermitTable::new(setup.message_address),
+            return_times: HashMap::new(),
             abandoned: AbandonedRuns::default(),
             notices: NoticeQueue::default(),
             peer_addresses: Vec::new(),
@@ -403,9 +416,18 @@
             pinned_first: chain.first().copied(),
             current: &current,
             peers: &self.peers,
+            permits: Some(&self.permits),
         };
         let Some(chain) = choose_chain(&self.upstreams, &query, &mut self.rng) else {
-            return Err(self.no_target_refusal(now, &request.service));
+            let query = ChainQuery {
+                permits: None,
+                ..query
+            };
+            let is_limited = choose_chain(&self.upstreams, &query, &mut self.rng).is_some();
+            return Err(match is_limited {
+                true => self.limit_refusal(now, &request.service),
+                false => self.no_target_refusal(now, &request.service),
+            });
         };
         let tokens = request.prompt_tokens + request.expected_answer_tokens;
         let reservations = chain
@@ -421,7 +443,8 @@
         request: &AdmittedRequest,
         avoid: &[UpstreamKey],
     ) -> Result<SendTarget, RequestRefusal> {
-        let mut best: Option<((bool, bool, f64), UpstreamKey)> = None;
+        let mut best: Option<((bool, bool, bool, f64), UpstreamKey)> = None;
+        let mut is_limited = false;
         for (key, record) in self.upstreams.iter() {
             if record.entry.service != request.service || !record.registered() {
                 continue;
@@ -429,19 +452,27 @@
             if record.resting(now) {
                 continue;
             }
+            if !self.permits.may_request(now, key) {
+                is_limited = true;
+                continue;
+            }
             let load = f64::from(record.in_flight) / f64::from(record.entry.slots.max(1));
             let remote = record.entry.domain != self.setup.domain;
             let noise = LOAD_NOISE * self.rng.random::<f64>();
             let load =
                 load + if remote { REMOTE_DOMAIN_LOAD } else { 0.0 } + noise + record.failure_rate;
             // A suspect replica, or one that was already attempted, is still better than none.
-            let rank = (avoid.contains(&key), !record.usable(now), load);
+            let is_heard = !self.permits.is_unheard(now, key);
+            let rank = (avoid.contains(&key), !record.usable(now), is_heard, load);
             if best.is_none_or(|(least, _)| rank < least) {
                 best = Some((rank, key));
             }
         }
         let Some((_, key)) = best else {
-            return Err(self.no_target_refusal(now, &request.service));
+            return Err(match is_limited {
+                true => self.limit_refusal(now, &request.service),
+                false => self.no_target_refusal(now, &request.service),
+            });
         };
         Ok(self.reserve_target(key, Vec::new(), vec![(key, 0.0)]))
     }
@@ -473,6 +504,77 @@
         }
     }
 
+    /// Returns the refusal of a request that replicas of a service could take but for the limits that
+    /// they name. Callers are told to come back one after the other, as fast as this gateway's shares
+    /// of the limits allow.
+    fn limit_refusal(&mut self, now: ClockTime, service: &str) -> RequestRefusal {
+        let (mut share_per_s, mut wait_ms) = (0.0, MAX_RETURN_MS);
+        for (key, record) in self.upstreams.iter() {
+            let layers = record.entry.layers;
+            let is_first = layers.from == 0 || layers.is_empty();
+            let fits = record.entry.service == service && record.registered() && is_first;
+            if let (true, Some(share)) = (fits, self.permits.share_per_s(key)) {
+                share_per_s += share;
+                wait_ms = wait_ms.min(self.permits.wait_ms(now, key));
+            }
+        }
+        let last = self.return_times.entry(service.to_owned()).or_default();
+        let spacing_ms = (1_000.0 / f64::max(share_per_s, 1e-3)) as u64;
+        let return_at = (*last + spacing_ms).max(now + wait_ms);
+        let mut retry_ms = return_at.since(now);
+        if retry_ms > MAX_RETURN_MS {
+            retry_ms = self.rng.random_range(MAX_RETURN_MS / 2..=MAX_RETURN_MS);
+        } else {
+            *last = return_at;
+        }
+        let detail = "the replicas of the service that have room get all that they say they take";
+        RequestRefusal::not_run(RefusalReason::Busy, detail).retry_after(retry_ms.max(1))
+    }
+
+    /// Records what an answer of an upstream says of its limit. `asked_at` is when the request was
+    /// sent that it answers. Returns the change, if there is any.
+    pub fn apply_limit(
+        &mut self,
+        now: ClockTime,
+        key: UpstreamKey,
+        statement: LimitStatement,
+        asked_at: ClockTime,
+    ) -> Option<LimitChange> {
+        let per_second = match statement {
+            LimitStatement::Absent => None,
+            LimitStatement::PerSecond(limit) => Some(limit),
+            // What holds, holds on.
+            LimitStatement::Garbled => return None,
+        };
+        let stated = StatedLimit {
+            per_second,
+            asked_at,
+            heard_at: now,
+        };
+        self.apply_stated_limit(now, key, stated)
+    }
+
+    /// Records what an upstream said of its limit, to this gateway or a peer. Returns the change, if
+    /// there is any.
+    pub fn apply_stated_limit(
+        &mut self,
+        now: ClockTime,
+        key: UpstreamKey,
+        stated: StatedLimit,
+    ) -> Option<LimitChange> {
+        if stated.per_second.is_none() && !self.permits.is_known(key) {
+            return None;
+        }
+        let digest = self.upstreams.get(key).entry.incarnation_digest();
+        self.permits.apply(now, key, digest, stated)
+    }
+
+    /// Records that no permit for a request to an upstream was granted.
+    pub fn record_denial(&mut self, now: ClockTime, key: UpstreamKey, ready_ms: u64) {
+        let draw = self.rng.random();
+        self.permits.record_denial(now, key, ready_ms, draw);
+    }
+
     fn reserve_target(
         &mut self,
         upstream: UpstreamKey,
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -322,9 +322,10 @@
             }
             Err(error) => status.back_off(now, &error).await,
         }
-        let mut state = gateway.state();
+        let state = &mut *gateway.state();
         state.upstreams.expire_missing(gateway.clock.now());
         let upstreams = &state.upstreams;
+        state.permits.forget(|key| upstreams.get(key).gone);
         gateway.pool.sweep(now, |key| upstreams.get(key).gone);
     }
 }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 
 use crate::clock::ClockTime;
-use crate::gateway::rate_limit::LimitStatement;
 use crate::store::position::StorePosition;
 
 /// Time for which an upstream stays suspect, milliseconds. It doubles each time that the upstream
@@ -102,6 +101,16 @@
     pub position: StorePosition,
 }
 
+impl UpstreamEntry {
+    /// Tells the upstream's incarnation from others, at all gateways alike.
+    pub fn incarnation_digest(&self) -> u64 {
+        let name = format!("{}/{}", self.address, self.born);
+        let mut start = [0; 8];
+        start.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
+        u64::from_be_bytes(start)
+    }
+}
+
 /// Index of an upstream's incarnation in the [`UpstreamTable`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct UpstreamKey(pub u32);
@@ -169,8 +178,6 @@
     slowdown: Option<SlowdownReport>,
     /// Moving average of the part of exchanges that failed, 0 to 1.
     pub failure_rate: f64,
-    /// What the upstream said last of the requests a second that it takes.
-    limit: LimitStatement,
     /// Number of this gateway's requests in flight at the upstream.
     pub in_flight: u32,
     /// KV memory that this gateway's requests in flight are expected to need at the upstream, in
@@ -377,7 +384,6 @@
             consecutive_failures: 0,
             failure_rate: 0.0,
             slowdown: None,
-            limit: LimitStatement::Absent,
             in_flight: 0,
             reserved_kv: 0.0,
             unreported: UnreportedLoad::default(),
@@ -540,13 +546,6 @@
         record.unanswered_since.get_or_insert(since);
     }
 
-    /// Records what an answer of an upstream says of the requests a second that it takes. Returns
-    /// whether it differs from what the answer before said.
-    pub fn note_limit(&mut self, key: UpstreamKey, statement: LimitStatement) -> bool {
-        let record = &mut self.records[key.0 as usize];
-        std::mem::replace(&mut record.limit, statement) != statement
-    }
-
     /// Leaves an upstream alone for `rest_ms` milliseconds, since it asked for it. A shorter time
     /// than one asked for before does not end that one.
     pub fn rest(&mut self, now: ClockTime, key: UpstreamKey, rest_ms: u64) {
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -47,8 +47,8 @@
 /// How far a run at the present replicas got, as far as it shows whether it may crash them.
 #[derive(Clone, Copy, Debug, Default)]
 struct RunProgress {
-    /// Whether the replicas may run the request.
-    is_sent: bool,
+    /// When the request was sent, if the replicas may run it.
+    sent_at: Option<ClockTime>,
     /// When the first event of the answer arrived.
     began_at: Option<ClockTime>,
     /// Whether the answer went on for long enough, or the run ended otherwise than by its caller.
@@ -60,7 +60,7 @@
         let now = self.gateway.clock.now();
         let mut state = self.gateway.state();
         state.release(&self.target);
-        if self.progress.is_sent && !self.progress.is_settled {
+        if self.progress.sent_at.is_some() && !self.progress.is_settled {
             let replica = self.target.address;
             state.abandoned.record(now, replica, self.suspect.clone());
         }
@@ -115,7 +115,7 @@
     pub(super) fn move_to(&mut self, target: SendTarget) -> SendTarget {
         self.crash_noted = false;
         self.progress = RunProgress {
-            is_sent: true,
+            sent_at: self.progress.sent_at,
             ..RunProgress::default()
         };
         std::mem::replace(&mut self.target, target)
@@ -212,7 +212,7 @@
         return Err(failed(AttemptFailure::NotSent));
     }
     let request = build_request(context, &attempt.target, now, last_event_id);
-    attempt.progress.is_sent = true;
+    attempt.progress.sent_at = Some(now);
     let exchange = connection.exchange(request);
     let outcome = wait_for_head(gateway, context, &mut attempt, may_retry, exchange).await;
     let response = match outcome {
@@ -226,7 +226,7 @@
                 error.error()
             );
             if !sent {
-                attempt.progress.is_sent = false;
+                attempt.progress.sent_at = None;
                 return Err(failed(AttemptFailure::NotSent));
             }
             gateway
@@ -263,7 +263,7 @@
     // On a reused connection, a response without a request id may belong to an earlier request.
     let matches_request = meta.has_request_id || (new_connection && not_run && !meta.has_other_id);
     if matches_request && status != StatusCode::MISDIRECTED_REQUEST {
-        heed_notices(gateway, &attempt.target, status, &meta);
+        heed_notices(gateway, &attempt, status, &meta);
     }
     if matches_request && not_run {
         attempt.progress.is_settled = true;
@@ -325,14 +325,22 @@
     })
 }
 
-/// Heeds what an upstream says of itself beside its response: that it is leaving, or, with a 503,
-/// that it asks to be left alone for a time. A replica of the chain that the 503 names as faulty is
+/// Heeds what an upstream says of itself beside its response: that it is leaving, how many requests it
+/// takes, or, with a 503, that it asks to be left alone for a time. A replica of the chain that the 503 names as faulty is
 /// left alone as well.
-fn heed_notices(gateway: &Gateway, target: &SendTarget, status: StatusCode, meta: &ResponseMeta) {
+fn heed_notices(
+    gateway: &Gateway,
+    attempt: &UpstreamAttempt,
+    status: StatusCode,
+    meta: &ResponseMeta,
+) {
+    let target = &attempt.target;
     if meta.leaving {
         note_leaving(gateway, target.upstream);
     }
-    note_limit(gateway, target.upstream, meta.limit, "request");
+    if let Some(sent_at) = attempt.progress.sent_at {
+        note_limit(gateway, target.upstream, meta.limit, sent_at);
+    }
     let (StatusCode::SERVICE_UNAVAILABLE, Some(rest_ms)) = (status, meta.rest_ms) else {
         return;
     };
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -19,6 +19,10 @@
     pub tokens: IntCounter,
     /// Number of replicas that crashed, or were cut off, while they ran a gateway's request.
     pub crashes_under_requests: IntCounter,
+    /// Number of upstreams that name a limit on the requests that they take.
+    pub limited_upstreams: IntGauge,
+    /// Number of permits that requests to such upstreams needed, by how they were had.
+    pub permits: IntCounterVec,
     /// Number of messages sent to other processes.
     pub messages_sent: IntCounter,
     /// Number of requests of an agent to the platform's key-value store; entries and gateways do
@@ -63,6 +67,17 @@
             "lynxcart_crashes_under_requests_total",
             "Replicas that crashed or were cut off while they ran a request.",
         )?;
+        let limited_upstreams = IntGauge::new(
+            "lynxcart_limited_upstreams",
+            "Upstreams that name a limit on the requests that they take.",
+        )?;
+        let permits = IntCounterVec::new(
+            Opts::new(
+                "lynxcart_permits_total",
+                "Permits that requests to upstreams with a limit needed, by how they were had.",
+            ),
+            &["result"],
+        )?;
         let messages_sent = IntCounter::new(
             "lynxcart_mail_sent_total",
             "Messages sent to other processes.",
@@ -89,6 +104,8 @@
         registry.register(Box::new(in_flight.clone()))?;
         registry.register(Box::new(tokens.clone()))?;
         registry.register(Box::new(crashes_under_requests.clone()))?;
+        registry.register(Box::new(limited_upstreams.clone()))?;
+        registry.register(Box::new(permits.clone()))?;
         registry.register(Box::new(messages_sent.clone()))?;
         registry.register(Box::new(platform_requests.clone()))?;
         registry.register(Box::new(config_revision.clone()))?;
@@ -98,6 +115,8 @@
             in_flight,
             tokens,
             crashes_under_requests,
+            limited_upstreams,
+            permits,
             messages_sent,
             platform_requests,
             config_revision,
@@ -106,6 +125,11 @@
         })
     }
 
+    /// Counts a permit that a request needed: `own`, `asked`, `denied` or `unanswered`.
+    pub fn count_permit(&self, result: &str) {
+        self.permits.with_label_values(&[result]).inc();
+    }
+
     /// Returns the current values in the Prometheus text format.
     pub fn prometheus_text(&self) -> String {
         let mut buffer = Vec::new();
--- a/src/wire/gen.rs
+++ b/src/wire/gen.rs
@@ -15,7 +15,7 @@
     pub lamport: u64,
     #[prost(
         oneof = "envelope::Body",
-        tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 30, 31, 32, 33, 40"
+        tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 30, 31, 32, 33, 40, 41, 42, 43"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -55,6 +55,12 @@
         OperationStruck(super::OperationStruck),
         #[prost(message, tag = "40")]
         GatewayLoad(super::GatewayLoad),
+        #[prost(message, tag = "41")]
+        PermitAsk(super::PermitAsk),
+        #[prost(message, tag = "42")]
+        PermitAnswer(super::PermitAnswer),
+        #[prost(message, tag = "43")]
+        PermitGifts(super::PermitGifts),
     }
 }
 /// Identifier of a caller's request, a 128-bit number.
@@ -457,6 +463,72 @@
     pub crashes: ::prost::alloc::vec::Vec<RequestCrashes>,
     #[prost(message, repeated, tag = "5")]
     pub part_crashes: ::prost::alloc::vec::Vec<PartCrashes>,
+    #[prost(message, repeated, tag = "6")]
+    pub limits: ::prost::alloc::vec::Vec<UpstreamLimit>,
+}
+/// What an upstream said last of the requests that it takes from all gateways together.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct UpstreamLimit {
+    /// Address of the upstream, "ip:port".
+    #[prost(string, tag = "1")]
+    pub address: ::prost::alloc::string::String,
+    /// Start of its incarnation, Unix milliseconds; zero if unknown.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    /// Requests in a million seconds.
+    #[prost(uint64, tag = "3")]
+    pub per_million_seconds: u64,
+    /// Whether it named no limit, after it had named one.
+    #[prost(bool, tag = "4")]
+    pub ended: bool,
+    /// Time since the request was sent that it answered, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub asked_ago_ms: u32,
+    /// Time since the answer arrived, in milliseconds.
+    #[prost(uint32, tag = "6")]
+    pub heard_ago_ms: u32,
+}
+/// Asks another gateway for a permit for one request to an upstream with a limit.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PermitAsk {
+    /// Chosen by the sender, repeated in the answer.
+    #[prost(fixed64, tag = "1")]
+    pub number: u64,
+    #[prost(string, tag = "2")]
+    pub address: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "3")]
+    pub born: u64,
+}
+/// A permit, which is no longer the sender's, or none.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PermitAnswer {
+    #[prost(fixed64, tag = "1")]
+    pub number: u64,
+    #[prost(bool, tag = "2")]
+    pub granted: bool,
+    /// Time until the sender expects to have a permit, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub ready_ms: u32,
+    #[prost(string, tag = "4")]
+    pub address: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "5")]
+    pub born: u64,
+}
+/// Permits that the sender gives away.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PermitGifts {
+    #[prost(message, repeated, tag = "1")]
+    pub gifts: ::prost::alloc::vec::Vec<PermitGift>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PermitGift {
+    #[prost(string, tag = "1")]
+    pub address: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    /// Millionths of a permit.
+    #[prost(uint64, tag = "3")]
+    pub millionths: u64,
 }
 /// Replicas that crashed when they began to answer prompts with one part. Without any, and not
 /// quarantined, answers have shown since that the part is sound.
--- a/standins/src/gateway_scaling.rs
+++ b/standins/src/gateway_scaling.rs
@@ -102,6 +102,7 @@
         pinned_first: None,
         current: &[],
         peers: &peers,
+        permits: None,
     };
     let started_at = Instant::now();
     for _ in 0..CHOICES {
--- a/tests/gateway/chain.rs
+++ b/tests/gateway/chain.rs
@@ -31,6 +31,7 @@
         pinned_first: None,
         current: &[],
         peers,
+        permits: None,
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod notice;
 mod part_ledger;
 mod peer;
+mod permit_table;
 mod placement;
 mod plan;
 mod repair;
--- a/tests/gateway/malformed.rs
+++ b/tests/gateway/malformed.rs
@@ -6,15 +6,17 @@
 use lynxcart::gateway::catalog::{RouteRule, RouteTarget, ServingConfig, WorkKind};
 use lynxcart::gateway::chain::covers;
 use lynxcart::gateway::placement::{PlacementController, PlacementInput, PlacementOutput};
+use lynxcart::gateway::rate_limit::StatedLimit;
 use lynxcart::gateway::state::{GatewaySetup, GatewayState, RequestHead};
-use lynxcart::gateway::upstream::{LayerRange, UpstreamEntry};
+use lynxcart::gateway::upstream::{LayerRange, UpstreamEntry, UpstreamKey};
 use lynxcart::platform::order::decode_report;
 use lynxcart::platform::registry::decode_entry;
 use lynxcart::platform::serving_config::decode_config;
 use lynxcart::store::position::StorePosition;
 use lynxcart::store::PlatformItem;
 use lynxcart::wire::gen::{
-    GatewayLoad, PartCrash, PartCrashes, PipeLoad, ReplicaCrash, RequestCrashes, UpstreamLoad,
+    GatewayLoad, PartCrash, PartCrashes, PipeLoad, ReplicaCrash, RequestCrashes, UpstreamLimit,
+    UpstreamLoad,
 };
 use proptest::prelude::{any, prop, prop_assert, prop_oneof, proptest, Just, Strategy};
 use serde_json::{json, Value};
@@ -62,6 +64,7 @@
             allowance: 202.0,
             min_gateways: 4.0,
         },
+        message_address: "10.9.0.1:7340".parse().unwrap(),
         rng_seed: 1,
     });
     let targets = weights.iter().map(|weight| RouteTarget {
@@ -228,9 +231,22 @@
                 quarantined_ago_ms: ago_ms,
                 confirmed: version % 2 == 0,
             }],
+            limits: vec![UpstreamLimit {
+                address: "10.0.0.2:80".to_owned(),
+                born: born % 2,
+                per_million_seconds: reserved,
+                ended: version % 3 == 0,
+                asked_ago_ms: ago_ms,
+                heard_ago_ms: quarantine_ms,
+            }; 2],
         };
         for peer in ["one", "other"] {
             state.apply_peer_version(message.config_version);
+            for limit in &message.limits {
+                let stated = StatedLimit::decode(ClockTime(1_000), limit);
+                state.apply_stated_limit(ClockTime(1_000), UpstreamKey(0), stated);
+                state.permits.receive(ClockTime(1_000), UpstreamKey(0), limit.per_million_seconds as f64);
+            }
             for report in &message.crashes {
                 state.crashes.apply_report(NOW, report);
             }
--- a/tests/gateway/stampede.rs
+++ b/tests/gateway/stampede.rs
@@ -52,6 +52,7 @@
             pinned_first: None,
             current: &[],
             peers: &self.peers,
+            permits: None,
         };
         let Some(chain) = choose_chain(&self.table, &query, rng) else {
             return false;
--- a/tests/gateway/state.rs
+++ b/tests/gateway/state.rs
@@ -34,6 +34,7 @@
             allowance: 202.0,
             min_gateways: 4.0,
         },
+        message_address: "10.9.0.1:7340".parse().unwrap(),
         rng_seed: 1,
     })
 }
