Keep replicas at their limit in chains that others begin

Cause: a replica without a permit was left out of the choice as a whole.

The new test failed before (no chain found).

--- a/src/gateway/chain.rs
+++ b/src/gateway/chain.rs
@@ -88,8 +88,16 @@
     next == layers
 }
 
-/// A replica that may become a hop, and the random factor on its cost.
-type ChainCandidate<'a> = (UpstreamKey, &'a UpstreamRecord, f64);
+/// A replica that may become a hop.
+#[derive(Clone, Copy, Debug)]
+struct ChainCandidate<'a> {
+    key: UpstreamKey,
+    record: &'a UpstreamRecord,
+    /// Random factor on its cost.
+    noise: f64,
+    /// Whether it may be the first hop, the only one that gets requests from gateways.
+    may_be_first: bool,
+}
 
 /// The last hop of a chain that runs the layers before `to`, linked to the hop before it.
 #[derive(Clone, Copy, Debug)]
@@ -116,28 +124,32 @@
         let first = query.pinned_first.is_some_and(|hop| hop.upstream == key);
         let fits = record.entry.service == query.service && !record.entry.layers.is_empty();
         if fits && (first || (record.usable(query.now) && !query.avoid.contains(&key))) {
-            // Only the first replica of a chain gets requests from gateways.
             let permits = query
                 .permits
                 .filter(|_| record.entry.layers.from == 0 && !first);
-            if permits.is_some_and(|permits| !permits.may_request(query.now, key)) {
-                continue;
-            }
+            let may_be_first = permits.is_none_or(|permits| permits.may_request(query.now, key));
             let is_unheard = permits.is_some_and(|permits| permits.is_unheard(query.now, key));
-            let preference = if is_unheard { UNHEARD_FACTOR } else { 1.0 };
-            let noise = preference * (1.0 + COST_NOISE * rng.random::<f64>());
-            candidates.push((key, record, noise));
+            let preference = match is_unheard && may_be_first {
+                true => UNHEARD_FACTOR,
+                false => 1.0,
+            };
+            candidates.push(ChainCandidate {
+                key,
+                record,
+                noise: preference * (1.0 + COST_NOISE * rng.random::<f64>()),
+                may_be_first,
+            });
         }
     }
     let mut candidates = keep_cheapest(candidates, query);
-    candidates.sort_by_key(|(key, record, _)| (record.entry.layers, *key));
+    candidates.sort_by_key(|candidate| (candidate.record.entry.layers, candidate.key));
     let mut partials: Vec<PartialChain> = Vec::new();
     // A partial chain ends where its last replica's layers end. Start layers are visited in
     // ascending order, so all partial chains that end at a layer are known before any is extended
     // from it.
     let mut end_layers: Vec<u32> = candidates
         .iter()
-        .map(|(_, record, _)| record.entry.layers.to)
+        .map(|candidate| candidate.record.entry.layers.to)
         .collect();
     end_layers.sort_unstable();
     end_layers.dedup();
@@ -178,17 +190,25 @@
     candidates: Vec<ChainCandidate<'a>>,
     query: &ChainQuery<'_>,
 ) -> Vec<ChainCandidate<'a>> {
-    let mut groups: HashMap<(&str, LayerRange), Vec<(f64, ChainCandidate<'a>)>> = HashMap::new();
+    type GroupKey<'a> = (&'a str, LayerRange, bool);
+    let mut groups: HashMap<GroupKey<'_>, Vec<(f64, ChainCandidate<'a>)>> = HashMap::new();
     let mut kept = Vec::new();
     for candidate in candidates {
-        let (key, record, noise) = candidate;
+        let ChainCandidate {
+            key,
+            record,
+            noise,
+            may_be_first,
+        } = candidate;
         if query.current.contains(&key) {
             kept.push(candidate);
             continue;
         }
         let entry = &record.entry;
         if let Some(cost) = hop_cost(key, record, query, entry.layers.len()) {
-            let group = groups.entry((&entry.domain, entry.layers)).or_default();
+            let group = groups
+                .entry((&entry.domain, entry.layers, may_be_first))
+                .or_default();
             group.push((cost * noise, candidate));
         }
     }
@@ -217,7 +237,16 @@
     if start > 0 && predecessors.is_empty() {
         return;
     }
-    for (key, record, noise) in candidates {
+    for candidate in candidates {
+        let ChainCandidate {
+            key,
+            record,
+            noise,
+            may_be_first,
+        } = candidate;
+        if start == 0 && !may_be_first {
+            continue;
+        }
         let held = record.entry.layers;
         if held.from > start || held.to <= start {
             continue;
--- a/tests/gateway/chain.rs
+++ b/tests/gateway/chain.rs
@@ -7,8 +7,10 @@
 use lynxcart::gateway::catalog::EngineRule;
 use lynxcart::gateway::chain::{choose_chain, covers, ChainHop, ChainQuery};
 use lynxcart::gateway::peer::{LinkKey, PeerTable};
+use lynxcart::gateway::permit_table::PermitTable;
 use lynxcart::gateway::plan::plan_service;
-use lynxcart::gateway::upstream::{UpstreamKey, UpstreamTable};
+use lynxcart::gateway::rate_limit::StatedLimit;
+use lynxcart::gateway::upstream::{LayerRange, UpstreamKey, UpstreamTable};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -230,6 +232,51 @@
     assert_eq!(table.get(slow).slowdown(NOW), 1.0);
 }
 
+#[test]
+fn replica_at_its_limit_is_no_first_hop_but_serves_chains_that_others_begin() {
+    let (engine, peers) = (engine(), PeerTable::default());
+    let mut table = UpstreamTable::default();
+    let layers = |from, to| LayerRange { from, to };
+    let placed = [
+        (1, "entry", "l4", layers(0, 8)),
+        (2, "first", "a100", layers(0, 26)),
+        (3, "second", "a100", layers(26, 53)),
+        (4, "third", "a100", layers(53, 80)),
+    ];
+    for (number, id, kind, layers) in placed {
+        table.apply_entry(ClockTime(0), entry(number, id, "a", kind, layers));
+    }
+    let first = key_of(&table, "first");
+    let mut rng = Pcg64Mcg::seed_from_u64(5);
+    let mut permits = PermitTable::new("10.9.0.1:7340".parse().unwrap());
+    let chain_with = |permits: &PermitTable, rng: &mut Pcg64Mcg| {
+        let query = ChainQuery {
+            permits: Some(permits),
+            ..query(&engine, &peers)
+        };
+        choose_chain(&table, &query, rng).unwrap()
+    };
+    assert_eq!(chain_with(&permits, &mut rng)[0].upstream, first);
+    let stated = StatedLimit {
+        per_second: Some(1.0),
+        asked_at: NOW,
+        heard_at: NOW,
+    };
+    permits.apply(NOW, first, 1, stated);
+    permits.record_denial(NOW, first, 1_000, 0.5);
+    let chain = chain_with(&permits, &mut rng);
+    assert!(covers(&chain, 80));
+    let hops: Vec<(UpstreamKey, LayerRange)> =
+        chain.iter().map(|hop| (hop.upstream, hop.layers)).collect();
+    let expected = [
+        (key_of(&table, "entry"), layers(0, 8)),
+        (first, layers(8, 26)),
+        (key_of(&table, "second"), layers(26, 53)),
+        (key_of(&table, "third"), layers(53, 80)),
+    ];
+    assert_eq!(hops, expected);
+}
+
 #[test]
 fn choosing_among_thousands_of_replicas_stays_within_20_ms() {
     // Guards the latency of a gateway that gets some 20 requests/s and chooses among 3,000
