--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod service;
 pub mod site;
 pub mod soak;
+mod soak_limit;
--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -92,8 +92,19 @@
     pub limits: &'static [&'static str],
     /// Number of callers' requests that reached the replica, also those that it refused.
     pub arrivals: u32,
-    /// Times at which requests of any kind reached the replica, those of the gateways' own included.
-    pub arrived_at: Vec<Instant>,
+    /// Requests of any kind that reached the replica, those of the gateways' own included.
+    pub arrivals_at: Vec<Arrival>,
+}
+
+/// A request that reached a replica.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// When it arrived.
+    pub at: Instant,
+    /// Incarnation of the replica.
+    pub incarnation: u64,
+    /// Limits that the replica names in its answer.
+    pub limits: &'static [&'static str],
 }
 
 /// One run of a request by a replica, recorded when it starts.
@@ -290,7 +301,13 @@
         if before.crashed {
             return no_response();
         }
-        self.change(address, |state| state.arrived_at.push(Instant::now()));
+        self.change(address, |state| {
+            state.arrivals_at.push(Arrival {
+                at: Instant::now(),
+                incarnation: state.incarnation,
+                limits: state.limits,
+            });
+        });
         let leaving = before.leaving;
         let request_id = request.headers().get("x-attempt-id").cloned();
         let mut response = self.clone().handle_request(address, request).await;
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -15,6 +15,7 @@
 
 use crate::replica::{ReplicaFault, CRASHES_FIRST};
 use crate::site::{read_up_to, send, SiteRequest, SiteResponse, TestSite, DEADLINE_MS, LAYERS};
+use crate::soak_limit::{check_limits, name_limits, names_limits};
 
 /// Number of concurrent callers.
 const CALLERS: usize = 16;
@@ -175,6 +176,12 @@
         let front_addresses = front_addresses.clone();
         callers.spawn(run_caller(number, front_addresses, end, seed, by_part));
     }
+    let mut limited = site.plain_addresses.clone();
+    limited.extend_from_slice(&site.model_addresses);
+    if names_limits(setup.seed) {
+        let table = site.replicas.clone();
+        tokio::spawn(name_limits(table, limited.clone(), end, setup.seed));
+    }
     let faults = inject_faults(&mut site, end, setup.seed).await?;
     let mut records = Vec::new();
     while let Some(joined) = callers.join_next().await {
@@ -183,6 +190,8 @@
     check_recovery(&site).await?;
     check_crashes(&site, &faults, by_part)?;
     check_leaving(&site, &records)?;
+    check_limits(&site.replicas, &limited)
+        .wrap_err_with(|| format!("seed {}, logs in {}", setup.seed, setup.log_dir.display()))?;
     let mut report = check_requests(&site, &records)
         .wrap_err_with(|| format!("seed {}, logs in {}", setup.seed, setup.log_dir.display()))?;
     report.faults = faults.count;
--- a/standins/tests/limit.rs
+++ b/standins/tests/limit.rs
@@ -63,8 +63,9 @@
 
 /// Most arrivals at a replica in any window that begins after `since`, and all of them.
 fn arrivals(site: &TestSite, replica: SocketAddr, since: Instant) -> (usize, usize) {
-    let times = site.replicas.state(replica).arrived_at;
-    let times: Vec<Instant> = times.into_iter().filter(|at| *at >= since).collect();
+    let times = site.replicas.state(replica).arrivals_at;
+    let times = times.into_iter().map(|arrival| arrival.at);
+    let times: Vec<Instant> = times.filter(|at| *at >= since).collect();
     let in_window = |from: &Instant| {
         let window = times
             .iter()
@@ -157,3 +158,82 @@
     let later: Vec<TimedResponse> = later.filter(|timed| timed.sent_at > settled).collect();
     assert_refused_at_once(&later);
 }
+
+/// Requests a second that replicas got from `since` on, for `length`.
+fn arrival_rate(site: &TestSite, replicas: &[SocketAddr], since: Instant, length: Duration) -> f64 {
+    let arrivals = replicas
+        .iter()
+        .flat_map(|replica| site.replicas.state(*replica).arrivals_at);
+    let count = arrivals.filter(|arrival| arrival.at >= since && arrival.at < since + length);
+    count.count() as f64 / length.as_secs_f64()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_that_moves_is_garbled_or_ends_is_followed() {
+    struct Phase {
+        limits: &'static [&'static str],
+        /// Requests a second at both replicas together, from which to which.
+        rate: std::ops::Range<f64>,
+    }
+    let site = start_site("limit-moves", 3).await;
+    let replicas = site.plain_addresses.clone();
+    let phases = [
+        Phase {
+            limits: &["1"],
+            rate: 1.0..3.5,
+        },
+        Phase {
+            limits: &["6"],
+            rate: 6.0..15.0,
+        },
+        Phase {
+            limits: &["NaN", "-3"],
+            rate: 6.0..15.0,
+        },
+        Phase {
+            limits: &["0.75", "many"],
+            rate: 0.75..3.0,
+        },
+        Phase {
+            limits: &[],
+            rate: 30.0..45.0,
+        },
+    ];
+    let (settle, counted) = (Duration::from_secs(4), Duration::from_secs(4));
+    let length = (settle + counted) * u32::try_from(phases.len()).unwrap();
+    let change = async {
+        for phase in &phases {
+            name_limit(&site, &replicas, phase.limits);
+            tokio::time::sleep(settle).await;
+            let since = Instant::now();
+            tokio::time::sleep(counted).await;
+            let rate = arrival_rate(&site, &replicas, since, counted);
+            let is_expected = phase.rate.contains(&rate);
+            assert!(
+                is_expected,
+                "{rate} a second with limits {:?}",
+                phase.limits
+            );
+        }
+    };
+    tokio::join!(send_at_rate(&site, SiteRequest::lookup, 40, length), change);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_holds_while_gateways_are_killed_and_restart() {
+    let mut site = start_site("limit-restart", 3).await;
+    let replicas = site.plain_addresses.clone();
+    name_limit(&site, &replicas, &["2"]);
+    let settled = Instant::now() + CONTACT_TIME;
+    for round in 0..4 {
+        let request = |id: &str| SiteRequest::issue(&format!("{round}-{id}"));
+        send_at_rate(&site, request, 40, Duration::from_secs(4)).await;
+        let killed = round % site.gateways.len();
+        site.gateways[killed].process.kill().unwrap();
+        site.restart_gateway(killed).unwrap();
+    }
+    let request = |id: &str| SiteRequest::issue(&format!("last-{id}"));
+    send_at_rate(&site, request, 40, Duration::from_secs(4)).await;
+    let length = Instant::now() - settled;
+    assert_limit_kept_and_used(&site, &replicas, settled, 2.0, length);
+}
