Prefer replicas without a limit for a first stage

Placement chose among empty or redundant replicas without regard to limits, so that a lost first stage could go to one that takes one request a second. Only the first replica of a chain gets requests. The new test failed before.

--- a/src/gateway/repair.rs
+++ b/src/gateway/repair.rs
@@ -26,6 +26,9 @@
     domain: String,
     kind: String,
     layers: LayerRange,
+    /// Whether it names a limit on the requests that it takes. It is the last choice for a first
+    /// stage, which alone gets requests from gateways.
+    is_limited: bool,
     /// Whether an order to the replica is pending or planned, so that it must not get another one.
     busy: bool,
 }
@@ -53,6 +56,7 @@
             domain: record.entry.domain.clone(),
             kind: record.entry.kind.clone(),
             layers: pending.get(&key).copied().unwrap_or(record.entry.layers),
+            is_limited: record.limit.is_some(),
             busy: pending.contains_key(&key),
         })
         .collect();
@@ -129,17 +133,17 @@
             .by_domain
             .get(&slot.domain)
             .map_or(&[][..], Vec::as_slice);
-        let own = self
-            .by_id
-            .get(&slot.id)
-            .copied()
-            .filter(|index| fits(*index));
-        let same_kind = || {
-            let mut candidates = in_domain.iter().copied();
-            candidates.find(|index| replicas[*index].kind == slot.kind && fits(*index))
+        let own = self.by_id.get(&slot.id).copied();
+        // A replica whose limit bars it from being a good first stage comes after all others.
+        let rank = |index: usize| {
+            let replica = &replicas[index];
+            let is_barred = slot.from == 0 && replica.is_limited;
+            (is_barred, own != Some(index), replica.kind != slot.kind)
         };
-        let any = || in_domain.iter().copied().find(|index| fits(*index));
-        let index = own.or_else(same_kind).or_else(any)?;
+        let candidates = own.into_iter().chain(in_domain.iter().copied());
+        let index = candidates
+            .filter(|index| fits(*index))
+            .min_by_key(|index| rank(*index))?;
         let replica = &replicas[index];
         self.by_id.remove(&replica.id);
         if let Some(in_domain) = self.by_domain.get_mut(&replica.domain) {
@@ -351,9 +355,13 @@
         };
         // Empty replicas come first, then the slowest, whose removal costs the least throughput.
         let next = free
-            .filter_map(|(index, replica)| Some((replica.layers.is_empty(), fit(replica)?, index)))
-            .max_by(|(empty, (one, _), _), (other_empty, (other, _), _)| {
-                empty.cmp(other_empty).then(one.total_cmp(other))
+            .filter_map(|(index, replica)| {
+                let is_barred = gap.from == 0 && replica.is_limited;
+                let rank = (!is_barred, replica.layers.is_empty());
+                Some((rank, fit(replica)?, index))
+            })
+            .max_by(|(rank, (one, _), _), (other_rank, (other, _), _)| {
+                rank.cmp(other_rank).then(one.total_cmp(other))
             });
         let Some((_, (_, layers), index)) = next else {
             return Vec::new();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -566,7 +566,11 @@
             return None;
         }
         let digest = self.upstreams.get(key).entry.incarnation_digest();
-        self.permits.apply(now, key, digest, stated)
+        let change = self.permits.apply(now, key, digest, stated);
+        if let Some(LimitChange { current, .. }) = change {
+            self.upstreams.set_limit(key, current);
+        }
+        change
     }
 
     /// Records that no permit for a request to an upstream was granted.
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -178,6 +178,9 @@
     slowdown: Option<SlowdownReport>,
     /// Moving average of the part of exchanges that failed, 0 to 1.
     pub failure_rate: f64,
+    /// Requests a second that the upstream says it takes from all gateways together; `None` if it
+    /// names no limit.
+    pub limit: Option<f64>,
     /// Number of this gateway's requests in flight at the upstream.
     pub in_flight: u32,
     /// KV memory that this gateway's requests in flight are expected to need at the upstream, in
@@ -384,6 +387,7 @@
             consecutive_failures: 0,
             failure_rate: 0.0,
             slowdown: None,
+            limit: None,
             in_flight: 0,
             reserved_kv: 0.0,
             unreported: UnreportedLoad::default(),
@@ -546,6 +550,11 @@
         record.unanswered_since.get_or_insert(since);
     }
 
+    /// Sets the limit that an upstream names.
+    pub fn set_limit(&mut self, key: UpstreamKey, limit: Option<f64>) {
+        self.records[key.0 as usize].limit = limit;
+    }
+
     /// Leaves an upstream alone for `rest_ms` milliseconds, since it asked for it. A shorter time
     /// than one asked for before does not end that one.
     pub fn rest(&mut self, now: ClockTime, key: UpstreamKey, rest_ms: u64) {
--- a/tests/gateway/repair.rs
+++ b/tests/gateway/repair.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 
 use lynxcart::clock::ClockTime;
+use lynxcart::gateway::plan::PlanSlot;
 use lynxcart::gateway::repair::{repair_steps, RepairStep};
 use lynxcart::gateway::upstream::{LayerRange, UpstreamEntry, UpstreamTable};
 use lynxcart::store::position::StorePosition;
@@ -74,6 +75,29 @@
     table.get(key_of(&table, id)).entry.clone()
 }
 
+#[test]
+fn first_stage_goes_to_a_replica_without_a_limit() {
+    for domain in DOMAINS {
+        let (plan, mut table) = placed_fleet();
+        let is_first = |slot: &&PlanSlot| slot.domain == domain && slot.from == 0 && !slot.spare;
+        let slot = plan.slots.iter().find(is_first).unwrap();
+        let lost = key_of(&table, &slot.id);
+        for (number, id) in [(200, "limited"), (201, "free")] {
+            let new = entry(number, id, domain, &slot.kind, LayerRange::default());
+            table.apply_entry(NOW, new);
+        }
+        let limited = key_of(&table, "limited");
+        table.set_limit(limited, Some(1.0));
+        table.report_dead(NOW, lost);
+        let steps = repair_steps(NOW, &plan, SERVICE, &engine(), &table, &HashMap::new());
+        let step = steps
+            .iter()
+            .find(|step| step.layers == slot.layers())
+            .unwrap();
+        assert_eq!(step.upstream, key_of(&table, "free"), "in domain {domain}");
+    }
+}
+
 #[test]
 fn new_replica_takes_the_slot_of_a_draining_one_in_its_domain_only() {
     let (plan, mut table) = placed_fleet();
