Judge parts of prompts after a pause as a gateway that has just started

Cause: a gateway that was suspended for 2.3 s judged as it woke by the crashes and proofs of before, though answers that went on meanwhile had shown the parts to be sound.

It now forgets crashes under parts that are not quarantined, and waits five seconds for proofs. Crashes that go on are counted anew.

--- a/src/gateway/part_ledger.rs
+++ b/src/gateway/part_ledger.rs
@@ -42,6 +42,8 @@
 /// Time from the first request in which a gateway lacks proofs of parts that are sound,
 /// milliseconds.
 const WARM_UP_MS: u64 = 5_000;
+/// Time between two judgements from which a gateway was paused, milliseconds.
+const MAX_JUDGE_GAP_MS: u64 = 1_000;
 /// Time for which no second request is let through after one was, milliseconds.
 const PROBE_MS: u64 = 5_000;
 /// Time by which each gateway lets a request through later than the one before it, milliseconds.
@@ -309,6 +311,8 @@
     released: Vec<PromptPart>,
     /// When this gateway first had anything to record.
     started_at: Option<ClockTime>,
+    /// When the crashes were last judged.
+    judged_at: Option<ClockTime>,
     /// Number of gateways that let a request through before this one.
     probe_rank: usize,
     swept_at: ClockTime,
@@ -441,6 +445,7 @@
     /// Judges the crashes that are old enough. Returns the parts that are to be quarantined.
     pub fn judge(&mut self, now: ClockTime) -> Vec<PartRuling> {
         self.sweep(now);
+        self.begin_anew_after_pause(now);
         let mut rulings = self.confirm(now);
         while let Some(chosen) = self.choose(now) {
             // What was in the same crashes cannot be told apart yet, and is tried apart.
@@ -463,6 +468,17 @@
         rulings
     }
 
+    /// Forgets the crashes under parts that are not quarantined if this gateway was paused: it does not
+    /// know what was proved meanwhile.
+    fn begin_anew_after_pause(&mut self, now: ClockTime) {
+        let judged_at = self.judged_at.replace(now).unwrap_or(now);
+        if now.since(judged_at) > MAX_JUDGE_GAP_MS {
+            self.started_at = Some(now);
+            self.histories
+                .retain(|_, history| history.quarantine.is_some());
+        }
+    }
+
     /// Confirms the parts under which a replica crashed after their quarantine, unless it was to
     /// answer another part in quarantine as well.
     fn confirm(&mut self, now: ClockTime) -> Vec<PartRuling> {
--- a/tests/gateway/part_ledger.rs
+++ b/tests/gateway/part_ledger.rs
@@ -119,6 +119,31 @@
     assert_eq!(ledger.judge(NOW + 1_000), []);
 }
 
+#[test]
+fn gateway_that_was_paused_suspects_no_part_by_what_it_knew_before() {
+    let mut ledger = warm_ledger(&[FIRST]);
+    let crash = |ledger: &mut PartLedger, at: u64| {
+        let number = (at / 1_000) as usize;
+        let run = run(at, &[FIRST, CRASHING]);
+        ledger.record_crash(NOW + at, replica(number), &run);
+    };
+    for at in (0..2_500).step_by(250) {
+        if at == 0 || at == 1_000 {
+            crash(&mut ledger, at);
+        }
+        assert_eq!(ledger.judge(NOW + at), []);
+    }
+    // It is suspended, and wakes to find that another replica is gone.
+    crash(&mut ledger, 5_000);
+    for at in (5_000..7_000).step_by(250) {
+        assert_eq!(ledger.judge(NOW + at), [], "at {at}");
+    }
+    assert_eq!(
+        ledger.verdict(NOW + 7_000, &[part(FIRST)]),
+        PartVerdict::Open
+    );
+}
+
 #[test]
 fn quarantined_part_is_tried_once_and_then_cleared_or_confirmed() {
     for is_sound in [true, false] {
