Do not heed a suspicion of a part that a later answer refutes

Cause: a peer compared the suspicion with its own proofs by the time of the ruling, not by that of the crashes on which it rests. An answer that began after the last crash and before the ruling shows the part to be sound all the same.

Such a report is refused and answered with the proof, which releases the part where it was suspected. Confirmed quarantines are not affected.

--- a/src/gateway/part_ledger.rs
+++ b/src/gateway/part_ledger.rs
@@ -604,8 +604,11 @@
         let had_crashes = !history.crashes.is_empty();
         history.crashes.retain(|crash| crash.end.at > began_at);
         let is_cleared = history.crashes.is_empty();
-        let is_released = (history.quarantine)
-            .is_some_and(|quarantine| is_cleared && quarantine.since <= began_at);
+        let is_released = history.quarantine.is_some_and(|quarantine| {
+            // A suspicion rests on its crashes alone, which the answer refutes.
+            let is_refuted = had_crashes && quarantine.certainty == PartCertainty::Suspected;
+            is_cleared && (is_refuted || quarantine.since <= began_at)
+        });
         if is_released {
             spdlog::info!("event=prompt_part_released part={part}");
             history.quarantine = None;
@@ -669,6 +672,14 @@
         if report.quarantine_ms == 0 {
             return None;
         }
+        if self.is_refuted(now, part, report) {
+            // The peer is told of the answer.
+            if let Some(history) = self.history(now, part) {
+                history.reports_left = REPORT_REPEATS;
+                history.expires_at = history.expires_at.max(now + CLEARED_RETENTION_MS);
+            }
+            return None;
+        }
         let certainty = match report.confirmed {
             true => PartCertainty::Confirmed,
             false => PartCertainty::Suspected,
@@ -683,6 +694,17 @@
         is_new.then_some((part, certainty))
     }
 
+    /// Whether an answer that began after all crashes on which a peer's suspicion rests shows that the
+    /// part is sound.
+    fn is_refuted(&self, now: ClockTime, part: PromptPart, report: &PartCrashes) -> bool {
+        let Some(proved_at) = self.proofs.get(&part) else {
+            return false;
+        };
+        let mut crashes = report.crashes.iter();
+        let is_later = crashes.all(|crash| now - u64::from(crash.ago_ms) <= *proved_at);
+        is_later && !report.crashes.is_empty() && !report.confirmed
+    }
+
     /// Returns the changes to report to the peers now: of parts in quarantine first, then of those
     /// with most crashes and the oldest proofs.
     pub fn take_reports(&mut self, now: ClockTime) -> Vec<PartCrashes> {
--- a/tests/gateway/part_ledger.rs
+++ b/tests/gateway/part_ledger.rs
@@ -144,6 +144,25 @@
     );
 }
 
+#[test]
+fn peer_with_a_later_proof_does_not_heed_a_suspicion_and_refutes_it() {
+    let (mut paused, mut peer) = (PartLedger::default(), warm_ledger(&[FIRST]));
+    paused.record_proof(NOW - 90_000, &[], NOW - 90_000);
+    let runs: Vec<SuspectRun> = (0..3).map(|number| run(number, &[FIRST])).collect();
+    let now = crash_under(&mut paused, &runs);
+    assert_eq!(paused.judge(now).len(), 1);
+    // The answer began before the ruling and after the last crash.
+    peer.record_proof(now, &[part(FIRST)], now - PROOF_MS);
+    for report in paused.take_reports(now) {
+        assert_eq!(peer.apply_report(now, &report), None);
+    }
+    assert_eq!(peer.verdict(now, &[part(FIRST)]), PartVerdict::Open);
+    for report in peer.take_reports(now) {
+        paused.apply_report(now, &report);
+    }
+    assert_eq!(paused.verdict(now, &[part(FIRST)]), PartVerdict::Open);
+}
+
 #[test]
 fn quarantined_part_is_tried_once_and_then_cleared_or_confirmed() {
     for is_sound in [true, false] {
