Free the capacity of a reroute whose caller leaves meanwhile

Shown by reading, not reproduced: a target that was chosen for a reroute kept its reservations if the request was dropped while the order was awaited, up to 400 ms, so that KV memory would look taken for good. A test that drops callers while slow orders are awaited brought about no reroute (the streams were resumed elsewhere) and is not kept.

The reservation is now freed with the request, by the guard that the wait for a permit needs as well.

--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -14,6 +14,7 @@
 use crate::gateway::forward::RequestContext;
 use crate::gateway::notice::{note_leaving, note_limit};
 use crate::gateway::permit::acquire_permit;
+use crate::gateway::reserved_target::ReservedTarget;
 use crate::gateway::run::{Gateway, StalledReport};
 use crate::gateway::state::SendTarget;
 use crate::gateway::upstream::UpstreamKey;
@@ -286,8 +287,9 @@
     target: SendTarget,
     fault: Option<SocketAddr>,
 ) -> RerouteOutcome {
+    let reserved = ReservedTarget::new(gateway, target);
+    let target = reserved.get();
     if !acquire_permit(gateway, target.upstream).await {
-        gateway.state().release(&target);
         return RerouteOutcome::Failed(None);
     }
     let order = repath_request(
@@ -303,20 +305,19 @@
         context.meta.id,
         target.upstream_id
     );
-    let mut state = gateway.state();
     match reply {
         Ok((200 | 202, _)) => {
-            let previous = attempt.move_to(target);
-            state.release(&previous);
+            let previous = attempt.move_to(reserved.take());
+            gateway.state().release(&previous);
             RerouteOutcome::Applied
         }
         other => {
             let address = other.ok().and_then(|(_, body)| fault_address(&body));
+            let mut state = gateway.state();
             let faulty = address.and_then(|address| state.upstreams.by_address(address));
             if let Some(key) = faulty {
                 state.upstreams.pause(gateway.clock.now(), key);
             }
-            state.release(&target);
             RerouteOutcome::Failed(faulty)
         }
     }
