Have one gateway tell each limit again, and only those changes that it heard

A change that a gateway was told was told on to all others, three times, and all limits by all gateways every two seconds: messages that grow with the square of the gateways. A change is now told by those that heard it from the replica, and the limits again by the gateway that collects for them.

--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -13,7 +13,7 @@
 use crate::gateway::part_ledger::ReplicaEnd;
 use crate::gateway::peer::{PeerReport, LOAD_INTERVAL_MS};
 use crate::gateway::permit::{answer_ask, give_permits, named_upstream, take_answer, take_gifts};
-use crate::gateway::permit_table::GIFT_INTERVAL_MS;
+use crate::gateway::permit_table::{LimitSource, GIFT_INTERVAL_MS};
 use crate::gateway::rate_limit::StatedLimit;
 use crate::gateway::run::Gateway;
 use crate::gateway::state::GatewayState;
@@ -190,7 +190,7 @@
     };
     let now = gateway.clock.now();
     let stated = StatedLimit::decode(now, limit);
-    if let Some(change) = state.apply_stated_limit(now, key, stated) {
+    if let Some(change) = state.apply_stated_limit(now, key, stated, LimitSource::Peer) {
         log_limit_change(gateway, state, key, change, &format!("peer={from}"));
     }
 }
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -53,7 +53,7 @@
 const MAX_BACKOFF_MS: u64 = 1_000;
 /// Time after which an upstream is preferred from which no answer was heard, milliseconds.
 const UNHEARD_MS: u64 = 4_000;
-/// Interval at which all limits are told to the peers, milliseconds.
+/// Interval at which the limits that a gateway collects for are told to the peers, milliseconds.
 const REPORT_ALL_MS: u64 = 2_000;
 /// Number of times that a change of a limit is told to the peers, since datagrams get lost.
 const REPORT_REPEATS: u32 = 3;
@@ -99,6 +99,15 @@
     pub amount: f64,
 }
 
+/// Where a gateway heard of a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitSource {
+    /// In an answer of the upstream.
+    Upstream,
+    /// In a message of another gateway.
+    Peer,
+}
+
 /// A change of the limit of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitChange {
@@ -232,7 +241,7 @@
         }
     }
 
-    /// Sets the other gateways that are registered. All limits are told again if there are new ones.
+    /// Sets the other gateways that are registered. New ones are told the limits.
     pub fn set_registered(&mut self, now: ClockTime, others: &[SocketAddr]) {
         let members = &mut self.members;
         members.joined_at.get_or_insert(now);
@@ -243,9 +252,7 @@
         members.registered.remove(&members.own);
         members.update_count(now);
         if has_new {
-            for share in self.shares.values_mut() {
-                share.reports_left = REPORT_REPEATS;
-            }
+            self.reported_at = ClockTime::default();
         }
     }
 
@@ -258,15 +265,20 @@
         }
     }
 
-    /// Applies what an upstream said, to this gateway or a peer. `digest` tells its incarnation from
-    /// others, at all gateways alike. Returns the change, if there is any.
+    /// Applies what an upstream said. `digest` tells its incarnation from others, at all gateways
+    /// alike. Returns the change, if there is any; only one that was heard here is told to the peers.
     pub fn apply(
         &mut self,
         now: ClockTime,
         key: UpstreamKey,
         digest: u64,
         stated: StatedLimit,
+        source: LimitSource,
     ) -> Option<LimitChange> {
+        let reports = match source {
+            LimitSource::Upstream => REPORT_REPEATS,
+            LimitSource::Peer => 0,
+        };
         assert!(
             stated.per_second.is_none_or(|limit| limit >= 0.0),
             "a limit below zero was not rejected"
@@ -281,7 +293,7 @@
                     accrued_at: now,
                     collector: self.members.collector(now, digest),
                     denied_until: now,
-                    reports_left: REPORT_REPEATS,
+                    reports_left: reports,
                 };
                 self.shares.insert(key, share);
             }
@@ -302,7 +314,7 @@
         }
         accrue(&self.members, share, now);
         share.stated = stated;
-        share.reports_left = REPORT_REPEATS;
+        share.reports_left = reports;
         share.denied_until = now;
         trim(&self.members, share);
         Some(LimitChange { previous, current })
@@ -473,7 +485,8 @@
         gifts
     }
 
-    /// Returns the limits to tell the peers: those that changed, and now and then all.
+    /// Returns the limits to tell the peers: those that changed, and now and then those that this
+    /// gateway collects for, so that each is told by one of them.
     pub fn take_reports(&mut self, now: ClockTime) -> Vec<(UpstreamKey, StatedLimit)> {
         let all = now.since(self.reported_at) >= REPORT_ALL_MS;
         if all {
@@ -481,7 +494,8 @@
         }
         let mut reports = Vec::new();
         for (key, share) in &mut self.shares {
-            if all || share.reports_left > 0 {
+            let is_collected = share.collector == self.members.own;
+            if share.reports_left > 0 || (all && is_collected) {
                 share.reports_left = share.reports_left.saturating_sub(1);
                 reports.push((*key, share.stated));
             }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,7 +17,7 @@
 use crate::gateway::notice::NoticeQueue;
 use crate::gateway::part_ledger::{PartLedger, ReplicaEnd};
 use crate::gateway::peer::{LinkKey, PeerTable};
-use crate::gateway::permit_table::{LimitChange, PermitTable};
+use crate::gateway::permit_table::{LimitChange, LimitSource, PermitTable};
 use crate::gateway::rate_limit::{LimitStatement, StatedLimit};
 use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamTable};
 use crate::verdict::{RefusalReason, RequestRefusal};
@@ -551,7 +551,7 @@
             asked_at,
             heard_at: now,
         };
-        self.apply_stated_limit(now, key, stated)
+        self.apply_stated_limit(now, key, stated, LimitSource::Upstream)
     }
 
     /// Records what an upstream said of its limit, to this gateway or a peer. Returns the change, if
@@ -561,12 +561,13 @@
         now: ClockTime,
         key: UpstreamKey,
         stated: StatedLimit,
+        source: LimitSource,
     ) -> Option<LimitChange> {
         if stated.per_second.is_none() && !self.permits.is_known(key) {
             return None;
         }
         let digest = self.upstreams.get(key).entry.incarnation_digest();
-        let change = self.permits.apply(now, key, digest, stated);
+        let change = self.permits.apply(now, key, digest, stated, source);
         if let Some(LimitChange { current, .. }) = change {
             self.upstreams.set_limit(key, current);
         }
--- a/tests/gateway/chain.rs
+++ b/tests/gateway/chain.rs
@@ -7,7 +7,7 @@
 use lynxcart::gateway::catalog::EngineRule;
 use lynxcart::gateway::chain::{choose_chain, covers, ChainHop, ChainQuery};
 use lynxcart::gateway::peer::{LinkKey, PeerTable};
-use lynxcart::gateway::permit_table::PermitTable;
+use lynxcart::gateway::permit_table::{LimitSource, PermitTable};
 use lynxcart::gateway::plan::plan_service;
 use lynxcart::gateway::rate_limit::StatedLimit;
 use lynxcart::gateway::upstream::{LayerRange, UpstreamKey, UpstreamTable};
@@ -262,7 +262,7 @@
         asked_at: NOW,
         heard_at: NOW,
     };
-    permits.apply(NOW, first, 1, stated);
+    permits.apply(NOW, first, 1, stated, LimitSource::Upstream);
     permits.record_denial(NOW, first, 1_000, 0.5);
     let chain = chain_with(&permits, &mut rng);
     assert!(covers(&chain, 80));
--- a/tests/gateway/malformed.rs
+++ b/tests/gateway/malformed.rs
@@ -5,6 +5,7 @@
 use lynxcart::gateway::budget::BudgetRule;
 use lynxcart::gateway::catalog::{RouteRule, RouteTarget, ServingConfig, WorkKind};
 use lynxcart::gateway::chain::covers;
+use lynxcart::gateway::permit_table::LimitSource;
 use lynxcart::gateway::placement::{PlacementController, PlacementInput, PlacementOutput};
 use lynxcart::gateway::rate_limit::StatedLimit;
 use lynxcart::gateway::state::{GatewaySetup, GatewayState, RequestHead};
@@ -244,7 +245,7 @@
             state.apply_peer_version(message.config_version);
             for limit in &message.limits {
                 let stated = StatedLimit::decode(ClockTime(1_000), limit);
-                state.apply_stated_limit(ClockTime(1_000), UpstreamKey(0), stated);
+                state.apply_stated_limit(ClockTime(1_000), UpstreamKey(0), stated, LimitSource::Peer);
                 state.permits.receive(ClockTime(1_000), UpstreamKey(0), limit.per_million_seconds as f64);
             }
             for report in &message.crashes {
--- a/tests/gateway/permit_table.rs
+++ b/tests/gateway/permit_table.rs
@@ -6,7 +6,7 @@
 
 use lynxcart::clock::ClockTime;
 use lynxcart::gateway::permit_table::{
-    LimitChange, PermitDecision, PermitReply, PermitTable, GIFT_INTERVAL_MS,
+    LimitChange, LimitSource, PermitDecision, PermitReply, PermitTable, GIFT_INTERVAL_MS,
 };
 use lynxcart::gateway::rate_limit::{LimitStatement, StatedLimit};
 use lynxcart::gateway::upstream::UpstreamKey;
@@ -171,7 +171,8 @@
     let mut table = PermitTable::new(address(0));
     let change = |previous, current| Some(LimitChange { previous, current });
     let apply = |table: &mut PermitTable, per_second, at| {
-        table.apply(ClockTime(at), KEY, DIGEST, stated(per_second, at - 5, at))
+        let stated = stated(per_second, at - 5, at);
+        table.apply(ClockTime(at), KEY, DIGEST, stated, LimitSource::Upstream)
     };
     assert_eq!(apply(&mut table, None, 1_000), None);
     assert_eq!(apply(&mut table, Some(2.0), 2_000), change(None, Some(2.0)));
@@ -192,11 +193,37 @@
     );
 }
 
+#[test]
+fn limit_is_told_by_those_that_heard_it_and_the_one_that_collects() {
+    let mut tables: Vec<PermitTable> = (0..20).map(|it| PermitTable::new(address(it))).collect();
+    let others: Vec<SocketAddr> = (0..20).map(address).collect();
+    for table in &mut tables {
+        table.set_registered(ClockTime(0), &others);
+        for other in &others {
+            table.record_heard(ClockTime(2_900), *other);
+        }
+    }
+    let limit = stated(Some(2.0), 2_990, 3_000);
+    tables[0].apply(ClockTime(3_000), KEY, DIGEST, limit, LimitSource::Upstream);
+    for table in &mut tables[1..] {
+        table.apply(ClockTime(3_010), KEY, DIGEST, limit, LimitSource::Peer);
+    }
+    let mut told = 0;
+    for at in (3_250..=5_000).step_by(250) {
+        for table in &mut tables {
+            told += table.take_reports(ClockTime(at)).len();
+        }
+    }
+    // Three times by the first, and at its intervals by the collector.
+    assert!((3..=5).contains(&told), "told {told} times");
+}
+
 #[test]
 fn limit_of_zero_is_tried_now_and_then() {
     let mut table = PermitTable::new(address(0));
     table.set_registered(ClockTime(0), &[]);
-    table.apply(ClockTime(0), KEY, DIGEST, stated(Some(0.0), 0, 0));
+    let zero = stated(Some(0.0), 0, 0);
+    table.apply(ClockTime(0), KEY, DIGEST, zero, LimitSource::Upstream);
     let mut granted = 0;
     for at in (0..60_000).step_by(50) {
         let decision = table.request(ClockTime(at), KEY);
@@ -309,7 +336,13 @@
     fn hear_answer(&mut self, number: usize) {
         let statement = stated(self.limit, self.now - 10, self.now);
         let table = &mut self.gateways[number].table;
-        table.apply(ClockTime(self.now), KEY, DIGEST, statement);
+        table.apply(
+            ClockTime(self.now),
+            KEY,
+            DIGEST,
+            statement,
+            LimitSource::Upstream,
+        );
     }
 
     fn post(&mut self, from: usize, to: usize, message: Message) {
@@ -344,7 +377,9 @@
         match packet.message {
             Message::Load(limits) => {
                 for limit in limits {
-                    gateway.table.apply(now, KEY, DIGEST, limit);
+                    gateway
+                        .table
+                        .apply(now, KEY, DIGEST, limit, LimitSource::Peer);
                 }
             }
             Message::Ask => {
