Measure the processor time of a choice of chains, not the time on the wall

The target is what a choice costs the gateway; the time on the wall also counts others that run in between.

--- a/tests/gateway/chain.rs
+++ b/tests/gateway/chain.rs
@@ -295,7 +295,7 @@
         );
     }
     let mut rng = Pcg64Mcg::seed_from_u64(9);
-    let started_at = Instant::now();
+    let (started_at, used_before) = (Instant::now(), processor_time());
     for _ in 0..CHOICES {
         let chain = choose_chain(&table, &query(&engine, &peers), &mut rng).unwrap();
         assert!(covers(&chain, 80));
@@ -303,10 +303,19 @@
             table.add_request(hop.upstream, 991.0 * f64::from(hop.layers.len()));
         }
     }
-    let each = started_at.elapsed() / CHOICES;
+    let each = (processor_time() - used_before) / CHOICES;
+    let elapsed = started_at.elapsed() / CHOICES;
+    println!("a choice takes {each:?} of processor time, {elapsed:?} on the wall");
     assert!(each < MAX_EACH, "a choice takes {each:?}");
 }
 
+/// Processor time that this thread has used, without that of others which ran in between.
+fn processor_time() -> Duration {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap();
+    let nanos = text.split_whitespace().next().unwrap();
+    Duration::from_nanos(nanos.parse().unwrap())
+}
+
 fn table_with_load(table: &UpstreamTable, domain: &str) -> UpstreamTable {
     let mut loaded = UpstreamTable::default();
     for (_, record) in table.iter() {
