Give the members of a limit and the turns of refused callers modules of their own

MemberView and ReturnSchedule are moved, not changed, but that permits and members are counted by one clock of updates. Tests of the turns, and of requests that only limits keep out, are new and passed at once.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! [`state`], [`placement`] and the modules that these two use make the decisions and do no I/O.
 //! [`listener`], [`forward`], [`upstream_attempt`], [`relay`], [`reroute`], [`response`], [`pool`],
-//! [`sync`], [`discovery`], [`placement_runner`], [`peer_exchange`], [`task`] and [`run`] carry
-//! them out. The names and formats of the deployment's platform are confined to
+//! [`sync`], [`discovery`], [`placement_runner`], [`peer_exchange`], [`permit`], [`task`] and [`run`]
+//! carry them out. The names and formats of the deployment's platform are confined to
 //! [`crate::platform`].
 
 pub mod abandoned;
@@ -19,6 +19,7 @@
 pub mod freshness;
 pub mod held_plan;
 pub mod listener;
+pub mod member_view;
 pub mod notice;
 pub mod part_ledger;
 pub mod peer;
@@ -36,6 +37,7 @@
 pub mod reserved_target;
 pub mod response;
 pub mod response_buffer;
+pub mod return_schedule;
 pub mod run;
 pub mod state;
 pub mod sync;
--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -9,10 +9,11 @@
 //! collector of the limit, one of the gateways that it hears, and from there to whichever gateway asks
 //! for a permit. Two collectors at the same time do no harm: they divide what was accrued.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use crate::clock::ClockTime;
+use crate::gateway::member_view::MemberView;
 use crate::gateway::rate_limit::StatedLimit;
 use crate::gateway::upstream::UpstreamKey;
 
@@ -36,17 +37,6 @@
 /// Longest time for which permits accrue at once, milliseconds. A VM that was suspended for longer
 /// does not make up for it.
 const MAX_ACCRUAL_MS: u64 = 1_000;
-/// Age up to which a message shows that a gateway is there, milliseconds.
-const HEARD_MS: u64 = 1_500;
-/// Time for which a gateway counts that is no longer registered, milliseconds. After an outage of the
-/// store gateways register again within it.
-const MEMBER_RETENTION_MS: u64 = 5_000;
-/// Time from the start after which a gateway accrues permits, milliseconds. By then the others count
-/// it.
-const JOIN_MS: u64 = 2_000;
-/// A gateway that has heard none of the others for this time accrues no permits, milliseconds: they
-/// may no longer count it.
-const ISOLATION_MS: u64 = 10_000;
 /// Shortest time after a denial until a gateway asks again, milliseconds.
 const MIN_BACKOFF_MS: u64 = 50;
 /// Longest time after a denial until a gateway asks again, milliseconds.
@@ -144,73 +134,6 @@
     }
 }
 
-/// The gateways that have shares, as known to one of them.
-#[derive(Clone, Debug)]
-struct MemberView {
-    own: SocketAddr,
-    /// The other registered gateways.
-    registered: BTreeSet<SocketAddr>,
-    /// When the others were last heard.
-    heard: BTreeMap<SocketAddr, ClockTime>,
-    /// Numbers of members at earlier times, for [`MEMBER_RETENTION_MS`].
-    counts: VecDeque<(ClockTime, usize)>,
-    /// When the members were first known.
-    joined_at: Option<ClockTime>,
-    /// When any of the others was last heard.
-    last_heard: Option<ClockTime>,
-    /// Number of the gateways that were heard lately, this one included.
-    live_count: usize,
-}
-
-impl MemberView {
-    fn live(&self, now: ClockTime) -> impl Iterator<Item = SocketAddr> + '_ {
-        let heard = self.heard.iter();
-        let live = heard.filter(move |(_, at)| now.since(**at) < HEARD_MS);
-        live.map(|(member, _)| *member).chain([self.own])
-    }
-
-    fn count(&self, now: ClockTime) -> usize {
-        let unregistered = self
-            .live(now)
-            .filter(|member| *member != self.own && !self.registered.contains(member));
-        1 + self.registered.len() + unregistered.count()
-    }
-
-    fn update_count(&mut self, now: ClockTime) {
-        let count = self.count(now);
-        let is_kept = |(at, _): &(ClockTime, usize)| now.since(*at) < MEMBER_RETENTION_MS;
-        self.counts.retain(is_kept);
-        self.counts.push_back((now, count));
-        self.live_count = self.live(now).count();
-    }
-
-    /// Among how many gateways limits are divided.
-    fn divisor(&self) -> usize {
-        let counts = self.counts.iter().map(|(_, count)| *count);
-        counts.max().unwrap_or(1)
-    }
-
-    /// Whether this gateway has a share: the others count it.
-    fn has_share(&self, now: ClockTime) -> bool {
-        let has_joined = self
-            .joined_at
-            .is_some_and(|joined_at| now >= joined_at + JOIN_MS);
-        let last_heard = self.last_heard.or(self.joined_at).unwrap_or_default();
-        has_joined && (self.registered.is_empty() || now.since(last_heard) < ISOLATION_MS)
-    }
-
-    /// The gateway that collects the permits of an upstream.
-    fn collector(&self, now: ClockTime, digest: u64) -> SocketAddr {
-        let rank = |member: &SocketAddr| {
-            let mut hasher = blake3::Hasher::new();
-            hasher.update(&digest.to_be_bytes());
-            hasher.update(member.to_string().as_bytes());
-            *hasher.finalize().as_bytes()
-        };
-        self.live(now).max_by_key(rank).unwrap_or(self.own)
-    }
-}
-
 /// The limits that upstreams name, and what one gateway has of each.
 #[derive(Clone, Debug)]
 pub struct PermitTable {
@@ -226,15 +149,7 @@
     /// Creates the table of the gateway with this address, which knows of no other and no limit.
     pub fn new(own: SocketAddr) -> PermitTable {
         PermitTable {
-            members: MemberView {
-                own,
-                registered: BTreeSet::new(),
-                heard: BTreeMap::new(),
-                counts: VecDeque::new(),
-                joined_at: None,
-                last_heard: None,
-                live_count: 1,
-            },
+            members: MemberView::new(own),
             shares: BTreeMap::new(),
             asks_paused_until: ClockTime::default(),
             reported_at: ClockTime::default(),
@@ -243,14 +158,7 @@
 
     /// Sets the other gateways that are registered. New ones are told the limits.
     pub fn set_registered(&mut self, now: ClockTime, others: &[SocketAddr]) {
-        let members = &mut self.members;
-        members.joined_at.get_or_insert(now);
-        let has_new = others
-            .iter()
-            .any(|other| !members.registered.contains(other));
-        members.registered = others.iter().copied().collect();
-        members.registered.remove(&members.own);
-        members.update_count(now);
+        let has_new = self.members.set_registered(now, others);
         if has_new {
             self.reported_at = ClockTime::default();
         }
@@ -258,11 +166,7 @@
 
     /// Records that a message of another gateway arrived.
     pub fn record_heard(&mut self, now: ClockTime, other: SocketAddr) {
-        let members = &mut self.members;
-        members.last_heard = Some(now);
-        if members.heard.insert(other, now).is_none() {
-            members.update_count(now);
-        }
+        self.members.record_heard(now, other);
     }
 
     /// Applies what an upstream said. `digest` tells its incarnation from others, at all gateways
@@ -339,7 +243,7 @@
     /// This gateway's share of the limit of an upstream, requests a second; `None` if it has no limit.
     pub fn share_per_s(&self, key: UpstreamKey) -> Option<f64> {
         let limit = self.shares.get(&key)?.limit()?;
-        Some(limit / self.members.divisor() as f64)
+        Some(limit / self.members.divisor())
     }
 
     /// Number of upstreams that name a limit.
@@ -353,7 +257,7 @@
         let Some(share) = self.shares.get(&key) else {
             return true;
         };
-        let is_collector = share.collector == self.members.own;
+        let is_collector = share.collector == self.members.own();
         let share = accrued(&self.members, share, now);
         let has_own = share.held >= 1.0 || (!is_collector && share.held + share.surplus >= 1.0);
         share.limit().is_none() || has_own || self.may_ask(now, &share)
@@ -395,7 +299,7 @@
             return PermitDecision::Unlimited;
         }
         accrue(&self.members, share, now);
-        let is_collector = share.collector == self.members.own;
+        let is_collector = share.collector == self.members.own();
         if take_held(share) || (!is_collector && take_any(share)) {
             return PermitDecision::Granted;
         }
@@ -463,9 +367,7 @@
     /// Returns the permits that are for other gateways, which are no longer this one's. To be called
     /// every [`GIFT_INTERVAL_MS`].
     pub fn take_gifts(&mut self, now: ClockTime) -> Vec<PermitGift> {
-        let members = &mut self.members;
-        members.heard.retain(|_, at| now.since(*at) < ISOLATION_MS);
-        members.update_count(now);
+        self.members.update(now);
         self.shares.retain(|_, share| {
             share.limit().is_some() || now.since(share.stated.heard_at) < ENDED_RETENTION_MS
         });
@@ -473,7 +375,7 @@
         for (key, share) in &mut self.shares {
             accrue(&self.members, share, now);
             share.collector = self.members.collector(now, share.digest);
-            if share.collector != self.members.own && share.surplus >= MIN_GIFT {
+            if share.collector != self.members.own() && share.surplus >= MIN_GIFT {
                 gifts.push(PermitGift {
                     to: share.collector,
                     upstream: *key,
@@ -494,7 +396,7 @@
         }
         let mut reports = Vec::new();
         for (key, share) in &mut self.shares {
-            let is_collected = share.collector == self.members.own;
+            let is_collected = share.collector == self.members.own();
             if share.reports_left > 0 || (all && is_collected) {
                 share.reports_left = share.reports_left.saturating_sub(1);
                 reports.push((*key, share.stated));
@@ -511,14 +413,10 @@
     /// Time until this gateway has a whole permit if the others give it theirs, milliseconds.
     fn ready_ms(&self, now: ClockTime, share: &PermitShare) -> u64 {
         let missing = 1.0 - accrued(&self.members, share, now).surplus;
-        let live = self.members.live_count as f64;
-        let inflow = share.limit().unwrap_or(MIN_LIMIT_PER_S) * live / self.divisor();
+        let live = self.members.live_count();
+        let inflow = share.limit().unwrap_or(MIN_LIMIT_PER_S) * live / self.members.divisor();
         (missing.max(0.0) / inflow * 1_000.0).ceil() as u64
     }
-
-    fn divisor(&self) -> f64 {
-        self.members.divisor() as f64
-    }
 }
 
 /// Adds what accrued since the last time.
@@ -526,7 +424,7 @@
     let elapsed_ms = now.since(share.accrued_at).min(MAX_ACCRUAL_MS);
     share.accrued_at = share.accrued_at.max(now);
     if let (Some(limit), true) = (share.limit(), members.has_share(now)) {
-        let share_per_s = limit / members.divisor() as f64;
+        let share_per_s = limit / members.divisor();
         share.held += share_per_s * elapsed_ms as f64 / 1_000.0;
     }
     trim(members, share);
@@ -545,7 +443,7 @@
         (share.held, share.surplus) = (share.held.min(0.0), 0.0);
         return;
     };
-    let divisor = members.divisor() as f64;
+    let divisor = members.divisor();
     let share_per_s = limit / divisor;
     let max_held = match HOLD_S * share_per_s {
         held if held >= 1.0 => held,
@@ -553,8 +451,8 @@
     };
     share.surplus += (share.held - max_held).max(0.0);
     share.held = share.held.min(max_held);
-    let live_part = members.live_count as f64 / divisor;
-    let max_surplus = if share.collector != members.own {
+    let live_part = members.live_count() / divisor;
+    let max_surplus = if share.collector != members.own() {
         (MAX_UNGIVEN_S * share_per_s).max(MIN_GIFT)
     } else if live_part * MAX_COLLECTORS >= 1.0 {
         1.0 + live_part * (1.0 + COLLECT_S * limit)
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -19,6 +19,7 @@
 use crate::gateway::peer::{LinkKey, PeerTable};
 use crate::gateway::permit_table::{LimitChange, LimitSource, PermitTable};
 use crate::gateway::rate_limit::{LimitStatement, StatedLimit};
+use crate::gateway::return_schedule::{ReturnSchedule, MAX_RETURN_MS};
 use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamTable};
 use crate::verdict::{RefusalReason, RequestRefusal};
 
@@ -27,9 +28,6 @@
 const UNREADY_RETRY_MS: u64 = 100;
 /// `retry_after_ms` of a refusal because no chain or replica can take the request, milliseconds.
 const NO_UPSTREAM_RETRY_MS: u64 = 500;
-/// Latest time at which a caller is told to come back that only limits keep from being served,
-/// milliseconds from now.
-const MAX_RETURN_MS: u64 = 4_000;
 /// Time from the first answer of the store within which a peer tells a VM that has just started
 /// which version of the configuration it has, milliseconds: it finds the new VM in the store, and
 /// then reports to it at once.
@@ -172,8 +170,8 @@
     pub draining: bool,
     setup: GatewaySetup,
     budgets: HashMap<String, RetryBudget>,
-    /// When the next caller is told to come back that no replica of a service could take, by service.
-    return_times: HashMap<String, ClockTime>,
+    /// When callers are told to come back that only limits kept out, by service.
+    returns: HashMap<String, ReturnSchedule>,
     rng: Pcg64Mcg,
 }
 
@@ -187,7 +185,7 @@
             crashes: CrashLedger::default(),
             parts: PartLedger::default(),
             permits: PermitTable::new(setup.message_address),
-            return_times: HashMap::new(),
+            returns: HashMap::new(),
             abandoned: AbandonedRuns::default(),
             notices: NoticeQueue::default(),
             peer_addresses: Vec::new(),
@@ -518,17 +516,11 @@
                 wait_ms = wait_ms.min(self.permits.wait_ms(now, key));
             }
         }
-        let last = self.return_times.entry(service.to_owned()).or_default();
-        let spacing_ms = (1_000.0 / f64::max(share_per_s, 1e-3)) as u64;
-        let return_at = (*last + spacing_ms).max(now + wait_ms);
-        let mut retry_ms = return_at.since(now);
-        if retry_ms > MAX_RETURN_MS {
-            retry_ms = self.rng.random_range(MAX_RETURN_MS / 2..=MAX_RETURN_MS);
-        } else {
-            *last = return_at;
-        }
+        let draw = self.rng.random();
+        let returns = self.returns.entry(service.to_owned()).or_default();
+        let retry_ms = returns.next_ms(now, wait_ms, share_per_s, draw);
         let detail = "the replicas of the service that have room get all that they say they take";
-        RequestRefusal::not_run(RefusalReason::Busy, detail).retry_after(retry_ms.max(1))
+        RequestRefusal::not_run(RefusalReason::Busy, detail).retry_after(retry_ms)
     }
 
     /// Records what an answer of an upstream says of its limit. `asked_at` is when the request was
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod placement;
 mod plan;
 mod repair;
+mod return_schedule;
 mod stampede;
 mod state;
 mod store_position;
--- a/tests/gateway/state.rs
+++ b/tests/gateway/state.rs
@@ -7,6 +7,7 @@
 use lynxcart::gateway::budget::BudgetRule;
 use lynxcart::gateway::catalog::{RouteRule, RouteTarget, ServingConfig, TeamRule, WorkKind};
 use lynxcart::gateway::part_ledger::{PromptPart, ReplicaEnd, SuspectRun};
+use lynxcart::gateway::rate_limit::LimitStatement;
 use lynxcart::gateway::state::{ConfigProof, GatewaySetup, GatewayState, RequestHead};
 use lynxcart::gateway::upstream::{LayerRange, UpstreamEntry, UpstreamKey};
 use lynxcart::verdict::{RefusalReason, RunVerdict};
@@ -284,6 +285,44 @@
     assert_eq!(target.upstream, keys[0]);
 }
 
+#[test]
+fn requests_that_only_limits_keep_out_are_refused_with_times_of_their_own() {
+    let mut state = state();
+    state.apply_config(plain_serving());
+    state.proof.renew(NOW);
+    for (number, id) in [(1, "x"), (2, "y")] {
+        let entry = entry(number, id, "a", "", LayerRange::default());
+        state.upstreams.apply_entry(NOW, entry);
+    }
+    let request = state.admit(NOW, &HEAD).unwrap();
+    let keys: Vec<UpstreamKey> = state.upstreams.iter().map(|(key, _)| key).collect();
+    let limit = LimitStatement::PerSecond(2.0);
+    state.apply_limit(NOW, keys[0], limit, NOW);
+    state.record_denial(NOW, keys[0], 500);
+    for _ in 0..50 {
+        let target = state.choose_target(NOW, &request, &[], None).unwrap();
+        assert_eq!(target.upstream, keys[1], "the other takes the rest");
+        state.release(&target);
+    }
+    state.apply_limit(NOW, keys[1], limit, NOW);
+    state.record_denial(NOW, keys[1], 500);
+    let mut times = Vec::new();
+    for _ in 0..6 {
+        let refusal = state.choose_target(NOW, &request, &[], None).unwrap_err();
+        assert_eq!(refusal.verdict, RunVerdict::NotRun);
+        // Not worth waiting for at the gateway.
+        assert_eq!(refusal.reason, RefusalReason::Busy);
+        times.push(refusal.retry_after_ms.unwrap());
+    }
+    assert!(times[0] >= 250, "{times:?}");
+    let spacings = times.windows(2).map(|pair| pair[1] - pair[0]);
+    assert!(spacings.clone().all(|spacing| spacing == 250), "{times:?}");
+    // An answer without a limit ends it.
+    state.apply_limit(NOW + 10, keys[0], LimitStatement::Absent, NOW);
+    let target = state.choose_target(NOW + 10, &request, &[], None).unwrap();
+    assert_eq!(target.upstream, keys[0]);
+}
+
 #[test]
 fn chains_leave_out_replicas_that_rest() {
     let mut state = state();
