Pass on that a replica is leaving to gateways that start later

Cause: the gateway that had heard it was killed, and the store went back to a copy of before its notice. A gateway that was told keeps that to itself and checks the store only every 4 to 8 s, so that the restarted one had nobody to learn from. Evidence: its log has the restart and the restore within 4 ms, and no notice read.

Gateways now pass on what they were told of the incarnation while it is registered. The new test failed before.

--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -30,7 +30,7 @@
     ReportedDead(UpstreamKey, u64),
     /// Factor by which the replica's work takes longer than nominal.
     Slowdown(UpstreamKey, f64),
-    /// The replica said to the peer that it is leaving.
+    /// The replica said that it is leaving, to the peer or to one that told the peer.
     Leaving(UpstreamKey),
 }
 
@@ -202,10 +202,12 @@
         for (key, record) in table.iter() {
             let reported_dead_ago = record.reported_dead_ago(now);
             let slowdown = record.direct_slowdown(now);
+            // Whoever heard it from the upstream may have ended since.
+            let is_leaving = record.said_leaving || record.told_leaving;
             let active = record.in_flight > 0
                 || reported_dead_ago.is_some()
                 || slowdown.is_some()
-                || record.said_leaving;
+                || is_leaving;
             if !active && !self.active_keys.contains(&key) {
                 continue;
             }
@@ -220,7 +222,7 @@
                 pace_milli: slowdown.map_or(0, |slowdown| (slowdown * 1_000.0) as u32),
                 named_ago: reported_dead_ago
                     .map_or(0, |ago| u32::try_from(ago + 1).unwrap_or(u32::MAX)),
-                leaving: record.said_leaving,
+                leaving: is_leaving,
             });
         }
         self.active_keys = active_keys;
--- a/tests/gateway/peer.rs
+++ b/tests/gateway/peer.rs
@@ -101,6 +101,23 @@
     assert_eq!(told, [PeerReport::Leaving(key_of(&remote, "v100-a-03"))]);
 }
 
+#[test]
+fn gateway_that_was_told_of_a_leaving_replica_tells_those_that_start_later() {
+    let (_, mut told) = placed_fleet();
+    let (_, started) = placed_fleet();
+    let leaving = key_of(&told, "v100-a-03");
+    told.mark_told_leaving(leaving);
+    let messages = PeerTable::default().load_messages(NOW, &told);
+    let reports = messages
+        .iter()
+        .flat_map(|message| PeerTable::default().apply_report(NOW, "peer", message, &started));
+    let reports: Vec<PeerReport> = reports.collect();
+    assert_eq!(
+        reports,
+        [PeerReport::Leaving(key_of(&started, "v100-a-03"))]
+    );
+}
+
 /// Totals are kept as reports arrive, and are those of all loads that still count.
 #[test]
 fn totals_follow_each_report_and_lose_what_is_too_old() {
