Count the replicas with a limit also when one is gone

lynxcart_limited_upstreams was set at changes of limits alone and kept those of replicas that had left. It is now set at each round of gifts. Shown by reading.

--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -145,7 +145,7 @@
     }
     let change = state.apply_limit(gateway.clock.now(), key, statement, asked_at);
     if let Some(change) = change {
-        log_limit_change(gateway, &state, key, change, "");
+        log_limit_change(&state, key, change, "");
         drop(state);
         gateway.peer_update.notify_one();
     }
@@ -153,7 +153,6 @@
 
 /// Logs a change of the limit of an upstream. `peer` names the peer that told it, if any.
 pub(super) fn log_limit_change(
-    gateway: &Gateway,
     state: &GatewayState,
     key: UpstreamKey,
     change: LimitChange,
@@ -167,9 +166,6 @@
         text(change.previous),
         state.permits.share_per_s(key).unwrap_or(0.0)
     );
-    let limited = state.permits.limited_upstreams();
-    let limited = i64::try_from(limited).unwrap_or(i64::MAX);
-    gateway.metrics.limited_upstreams.set(limited);
 }
 
 /// Records that a replica crashed, or was cut off, while it ran a request. `may_be_cause` tells
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -167,8 +167,7 @@
     }
 }
 
-/// The limits to tell the peers: those that changed, and at times all, which those need that started
-/// since.
+/// The limits to tell the peers.
 fn limit_reports(now: ClockTime, state: &mut GatewayState) -> Vec<UpstreamLimit> {
     let reports = state.permits.take_reports(now);
     let reports = reports.into_iter().map(|(key, stated)| {
@@ -179,19 +178,13 @@
 }
 
 /// Applies what a peer heard from an upstream.
-fn apply_limit(
-    gateway: &Gateway,
-    state: &mut GatewayState,
-    limit: &UpstreamLimit,
-    from: SocketAddr,
-) {
+fn apply_limit(now: ClockTime, state: &mut GatewayState, limit: &UpstreamLimit, from: SocketAddr) {
     let Some(key) = named_upstream(state, &limit.address, limit.born) else {
         return;
     };
-    let now = gateway.clock.now();
     let stated = StatedLimit::decode(now, limit);
     if let Some(change) = state.apply_stated_limit(now, key, stated, LimitSource::Peer) {
-        log_limit_change(gateway, state, key, change, &format!("peer={from}"));
+        log_limit_change(state, key, change, &format!("peer={from}"));
     }
 }
 
@@ -256,7 +249,7 @@
     let now = gateway.clock.now();
     let state = &mut *gateway.state();
     for limit in &load.limits {
-        apply_limit(gateway, state, limit, from);
+        apply_limit(now, state, limit, from);
     }
     for report in &load.crashes {
         if let Some(fingerprint) = state.crashes.apply_report(now, report) {
--- a/src/gateway/permit.rs
+++ b/src/gateway/permit.rs
@@ -110,7 +110,12 @@
 
 /// Gives the permits that this gateway does not keep to the gateways that collect them.
 pub(super) async fn give_permits(gateway: &Gateway) {
-    let mut gifts = gateway.state().permits.take_gifts(gateway.clock.now());
+    let mut gifts = {
+        let permits = &mut gateway.state().permits;
+        let limited = i64::try_from(permits.limited_upstreams()).unwrap_or(i64::MAX);
+        gateway.metrics.limited_upstreams.set(limited);
+        permits.take_gifts(gateway.clock.now())
+    };
     gifts.sort_by_key(|gift| gift.to);
     for gifts in gifts.chunk_by(|one, other| one.to == other.to) {
         for chunk in gifts.chunks(MAX_GIFTS_PER_MESSAGE) {
