--- a/src/gateway/member_view.rs
+++ b/src/gateway/member_view.rs
@@ -72,7 +72,7 @@
         }
     }
 
-    /// Counts the members anew. To be called at intervals well below [`HEARD_MS`].
+    /// Counts the members anew. To be called at least once a second.
     pub fn update(&mut self, now: ClockTime) {
         self.heard.retain(|_, at| now.since(*at) < ISOLATION_MS);
         let count = self.count(now);
