Keep a limit while the registry entry of its replica lapses

Shown by reading: entries lapse when the store is out, though their replicas run on; the limit went with the entry, and each gateway would have sent to the replica freely until its next answer. Limits of replicas that are gone are now kept for a minute after the last answer. The new test does not compile on the code before; with the former condition it fails.

--- a/src/gateway/permit_table.rs
+++ b/src/gateway/permit_table.rs
@@ -47,6 +47,9 @@
 const REPORT_ALL_MS: u64 = 2_000;
 /// Number of times that a change of a limit is told to the peers, since datagrams get lost.
 const REPORT_REPEATS: u32 = 3;
+/// Time from the last answer for which the limit of an upstream that is gone is remembered,
+/// milliseconds.
+const GONE_RETENTION_MS: u64 = 60_000;
 /// Time from the last answer for which the end of a limit is remembered, milliseconds.
 const ENDED_RETENTION_MS: u64 = 30_000;
 
@@ -405,9 +408,12 @@
         reports
     }
 
-    /// Forgets the upstreams for which `is_gone` holds.
-    pub fn forget(&mut self, is_gone: impl Fn(UpstreamKey) -> bool) {
-        self.shares.retain(|key, _| !is_gone(*key));
+    /// Forgets the upstreams for which `is_gone` holds and that were not heard for a minute: the
+    /// registry entry of one that still runs may lapse and return.
+    pub fn forget(&mut self, now: ClockTime, is_gone: impl Fn(UpstreamKey) -> bool) {
+        self.shares.retain(|key, share| {
+            !is_gone(*key) || now.since(share.stated.heard_at) < GONE_RETENTION_MS
+        });
     }
 
     /// Time until this gateway has a whole permit if the others give it theirs, milliseconds.
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -325,7 +325,7 @@
         let state = &mut *gateway.state();
         state.upstreams.expire_missing(gateway.clock.now());
         let upstreams = &state.upstreams;
-        state.permits.forget(|key| upstreams.get(key).gone);
+        state.permits.forget(now, |key| upstreams.get(key).gone);
         gateway.pool.sweep(now, |key| upstreams.get(key).gone);
     }
 }
--- a/tests/gateway/permit_table.rs
+++ b/tests/gateway/permit_table.rs
@@ -218,6 +218,19 @@
     assert!((3..=5).contains(&told), "told {told} times");
 }
 
+#[test]
+fn limit_holds_while_the_registry_entry_of_its_upstream_lapses_and_returns() {
+    let mut table = PermitTable::new(address(0));
+    let limit = stated(Some(2.0), 990, 1_000);
+    table.apply(ClockTime(1_000), KEY, DIGEST, limit, LimitSource::Upstream);
+    table.forget(ClockTime(20_000), |_| true);
+    assert!(table.is_limited(KEY));
+    table.forget(ClockTime(70_000), |_| false);
+    assert!(table.is_limited(KEY));
+    table.forget(ClockTime(70_000), |_| true);
+    assert!(!table.is_limited(KEY));
+}
+
 #[test]
 fn limit_of_zero_is_tried_now_and_then() {
     let mut table = PermitTable::new(address(0));
