Log which incarnation a notice of leaving is filed under

An answer does not say which incarnation of its replica gave it, and the log named the id of the replica alone. The line now names `born` as well, whether the notice was heard, told by a peer or read.

Nothing else changes; no test looks at the line.

--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -118,14 +118,14 @@
     let mut state = gateway.state();
     if state.upstreams.mark_leaving(key) {
         let entry = &state.upstreams.get(key).entry;
-        let (id, notice) = (entry.id.clone(), leaving_notice(entry));
+        let (id, born, notice) = (entry.id.clone(), entry.born, leaving_notice(entry));
         notice
             .into_iter()
             .for_each(|notice| state.notices.add(notice));
         drop(state);
         gateway.peer_update.notify_one();
         gateway.notice_update.notify_one();
-        spdlog::info!("event=upstream_leaving id={id}");
+        spdlog::info!("event=upstream_leaving id={id} born={born}");
     }
 }
 
@@ -406,7 +406,7 @@
     match &notice {
         KeptNotice::Leaving { id, born } => {
             if state.upstreams.bar_incarnation(id, *born) {
-                spdlog::info!("event=upstream_leaving id={id} peer=store");
+                spdlog::info!("event=upstream_leaving id={id} born={born} peer=store");
             }
         }
         KeptNotice::Quarantine(fingerprint) => {
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -296,8 +296,9 @@
             }
             PeerReport::Leaving(key) => {
                 if state.upstreams.mark_told_leaving(key) {
-                    let id = &state.upstreams.get(key).entry.id;
-                    spdlog::info!("event=upstream_leaving id={id} peer={from}");
+                    let entry = &state.upstreams.get(key).entry;
+                    let (id, born) = (&entry.id, entry.born);
+                    spdlog::info!("event=upstream_leaving id={id} born={born} peer={from}");
                 }
             }
             PeerReport::Slowdown(key, slowdown) => {
