--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -179,6 +179,21 @@
     response
 }
 
+/// Serves the health check, which is refused as other requests are.
+fn handle_health(state: &ReplicaState) -> ServerResponse {
+    let is_sound = !state.leaving && !state.dead && state.rest.is_empty();
+    let status = if is_sound { 200 } else { 503 };
+    let mut response = text_response(status, "");
+    let headers = response.headers_mut();
+    if let Ok(id) = state.id.parse() {
+        headers.insert("x-replica-id", id);
+    }
+    if !state.rest.is_empty() {
+        headers.insert("retry-after", http::HeaderValue::from_static(state.rest));
+    }
+    response
+}
+
 /// Removes a stream from the table when its response body is dropped: at its end, or when the
 /// caller disconnects. Has no effect once the same request has started another stream, the number
 /// of which is higher.
@@ -346,6 +361,7 @@
         }
         match path.as_str() {
             "/api/report" => self.handle_report(&state),
+            "/healthz" => handle_health(&state),
             "/api/order" => {
                 self.handle_order(address, &serde_json::from_slice(&body).unwrap_or_default())
             }
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -403,6 +403,22 @@
         runs.iter().filter(|run| run.request_id == id).count()
     }
 
+    /// Sends 20 requests to a gateway and returns how many of them reached a replica of the plain
+    /// service.
+    ///
+    /// # Panics
+    ///
+    /// If one of them is not served.
+    pub async fn count_arrivals(&self, gateway: usize, replica: SocketAddr) -> u32 {
+        let before = self.replicas.state(replica).arrivals;
+        for number in 0..20 {
+            let id = format!("{gateway}-{before}-{number}");
+            let answer = self.fetch(gateway, &SiteRequest::issue(&id)).await;
+            assert_eq!(answer.expect("the gateway should respond").status, 200);
+        }
+        self.replicas.state(replica).arrivals - before
+    }
+
     /// Waits until replicas run a stream. Returns its chain.
     ///
     /// # Errors
--- a/standins/tests/gateway.rs
+++ b/standins/tests/gateway.rs
@@ -588,23 +588,12 @@
     assert_eq!(arrivals(), 1);
 }
 
-/// Sends requests to a gateway and returns how many of them reached a replica.
-async fn count_arrivals(site: &TestSite, gateway: usize, replica: SocketAddr) -> u32 {
-    let before = site.replicas.state(replica).arrivals;
-    for number in 0..20 {
-        let id = format!("{gateway}-{before}-{number}");
-        let answer = site.fetch(gateway, &SiteRequest::issue(&id)).await;
-        assert_eq!(answer.expect("the gateway should respond").status, 200);
-    }
-    site.replicas.state(replica).arrivals - before
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_replica_gets_no_request_after_its_entry_lapsed_and_returned() {
     let site = start_site("gateway-leaving-lapse", 2).await;
     let leaving = site.plain_addresses[0];
     site.replicas.change(leaving, |state| state.leaving = true);
-    assert_eq!(count_arrivals(&site, 0, leaving).await, 1);
+    assert_eq!(site.count_arrivals(0, leaving).await, 1);
     // The platform takes the entry out although the replica still runs.
     let id = site.replicas.state(leaving).id;
     site.replicas.change(leaving, |state| state.dead = true);
@@ -614,7 +603,7 @@
     site.replicas.change(leaving, |state| state.dead = false);
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     for gateway in 0..2 {
-        assert_eq!(count_arrivals(&site, gateway, leaving).await, 0);
+        assert_eq!(site.count_arrivals(gateway, leaving).await, 0);
     }
 }
 
@@ -635,7 +624,7 @@
     let copy = site.store.copy();
     let leaving = site.plain_addresses[0];
     site.replicas.change(leaving, |state| state.leaving = true);
-    assert_eq!(count_arrivals(&site, 0, leaving).await, 1);
+    assert_eq!(site.count_arrivals(0, leaving).await, 1);
     tokio::time::sleep(Duration::from_millis(300)).await;
     if restored {
         site.store.restore(copy);
@@ -645,7 +634,7 @@
         .await
         .expect("the gateways should restart");
     for gateway in 0..2 {
-        assert_eq!(count_arrivals(&site, gateway, leaving).await, 0);
+        assert_eq!(site.count_arrivals(gateway, leaving).await, 0);
     }
     // It gets requests again when it has started again.
     site.replicas.change(leaving, |state| {
@@ -654,7 +643,7 @@
     });
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     for gateway in 0..2 {
-        assert_ne!(count_arrivals(&site, gateway, leaving).await, 0);
+        assert_ne!(site.count_arrivals(gateway, leaving).await, 0);
     }
 }
 
@@ -778,7 +767,7 @@
     let key = format!("lynxcart/notices/quarantine/{fingerprint}");
     site.store.put(&key, &0.into());
     tokio::time::sleep(Duration::from_millis(500)).await;
-    assert_eq!(count_arrivals(&site, 0, leaving).await, 0);
+    assert_eq!(site.count_arrivals(0, leaving).await, 0);
     let answer = site.fetch(0, &refused).await;
     assert_eq!(answer.expect("the gateway should respond").status, 503);
     assert_eq!(site.run_count("q"), 0);
@@ -790,7 +779,7 @@
     let leaving = site.plain_addresses[0];
     site.store.set_outage(true);
     site.replicas.change(leaving, |state| state.leaving = true);
-    assert_eq!(count_arrivals(&site, 0, leaving).await, 1);
+    assert_eq!(site.count_arrivals(0, leaving).await, 1);
     tokio::time::sleep(Duration::from_millis(600)).await;
     let process = &mut site.gateways[0].process;
     process.kill().expect("the gateway should be killed");
@@ -801,5 +790,5 @@
     site.wait_until_ready(0, true)
         .await
         .expect("the gateway should become ready");
-    assert_eq!(count_arrivals(&site, 0, leaving).await, 0);
+    assert_eq!(site.count_arrivals(0, leaving).await, 0);
 }
