Ask a new incarnation before it is used if its predecessor said it is leaving

Cause: an answer does not say which incarnation of a replica gave it, and one that has just started answers before the registry has its entry. What it says was filed under the incarnation that the registry had, and its own entry made a new record that knew nothing of it.

Barring the id or the address for a time would keep sound incarnations out. So an entry whose predecessor was said to be leaving, here, by a peer or in the store, is in doubt: it gets no request until its replica has answered a health check, which is no request of a caller, on a connection of its own. Whoever answers is this incarnation or a later one, so that an answer without the notice settles what was filed under earlier ones, and one with it bars the right incarnation. A peer's word of an incarnation that is not known here is kept as well; a gateway that restarted in the gap lost it.

The unit tests of the table need the new methods. One case of upstream_that_said_that_it_is_leaving_ stays_barred_... took a new incarnation for usable without asking; it now checks that exactly that one is asked, and is usable once it has answered.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -160,6 +160,8 @@
     /// Number of connections that one replica accepts from all callers together. Decoded from the
     /// configuration; the gateway's decisions do not use it.
     pub max_connections: u32,
+    /// Path of the health check of its replicas; empty if there is none.
+    pub health_path: String,
     /// Model and accelerators. `None` for a plain service.
     pub engine: Option<EngineRule>,
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! [`state`], [`placement`] and the modules that these two use make the decisions and do no I/O.
 //! [`listener`], [`forward`], [`upstream_attempt`], [`relay`], [`reroute`], [`response`], [`pool`],
-//! [`sync`], [`discovery`], [`placement_runner`], [`peer_exchange`], [`permit`], [`task`] and [`run`]
+//! [`sync`], [`discovery`], [`doubt`], [`placement_runner`], [`peer_exchange`], [`permit`], [`task`] and [`run`]
 //! carry them out. The names and formats of the deployment's platform are confined to
 //! [`crate::platform`].
 
@@ -14,6 +14,7 @@
 pub mod chain;
 pub mod crash_ledger;
 pub mod discovery;
+pub mod doubt;
 pub mod event_stream;
 pub mod forward;
 pub mod freshness;
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -384,6 +384,7 @@
                     apply_notice(now, &mut gateway.state(), item);
                 }
             }
+            gateway.doubt_update.notify_one();
             Ok(Some(position))
         }
         Ok(WatchOutcome::Compacted | WatchOutcome::Restored) => Ok(None),
@@ -457,5 +458,6 @@
     }
     add_missing(now, state, true);
     gateway.notice_update.notify_one();
+    gateway.doubt_update.notify_one();
     Ok(position)
 }
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -2,6 +2,7 @@
 //! without a shared counter.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use crate::clock::ClockTime;
 use crate::gateway::upstream::{UnreportedLoad, UpstreamKey, UpstreamTable};
@@ -32,6 +33,8 @@
     Slowdown(UpstreamKey, f64),
     /// The replica said that it is leaving, to the peer or to one that told the peer.
     Leaving(UpstreamKey),
+    /// An incarnation said so that is not known here: address and start, Unix milliseconds.
+    LeavingElsewhere(SocketAddr, u64),
 }
 
 #[derive(Debug)]
@@ -100,14 +103,16 @@
         let mut reports = Vec::new();
         self.peers.insert(peer.to_owned(), now);
         for upstream_load in &load.loads {
-            let found = upstream_load
-                .address
-                .parse()
-                .ok()
-                .and_then(|address| table.by_address(address));
+            let Ok(address) = upstream_load.address.parse() else {
+                continue;
+            };
+            let found = table.by_address(address);
             // The report is about another incarnation if the start times differ.
             let Some(key) = found.filter(|key| table.get(*key).entry.born == upstream_load.born)
             else {
+                if upstream_load.leaving {
+                    reports.push(PeerReport::LeavingElsewhere(address, upstream_load.born));
+                }
                 continue;
             };
             if upstream_load.named_ago > 0 {
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -301,6 +301,10 @@
                     spdlog::info!("event=upstream_leaving id={id} born={born} peer={from}");
                 }
             }
+            PeerReport::LeavingElsewhere(address, born) => {
+                state.upstreams.apply_told_elsewhere(address, born);
+                gateway.doubt_update.notify_one();
+            }
             PeerReport::Slowdown(key, slowdown) => {
                 if state.upstreams.apply_slowdown(now, key, slowdown, false) {
                     let id = &state.upstreams.get(key).entry.id;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -76,6 +76,8 @@
     pub buffered_bytes: BufferedBytes,
     /// HTTP client for report queries and orders to replicas.
     pub client: HttpClient,
+    /// HTTP client for queries whose answers must be of now, and not left from an earlier exchange.
+    pub unpooled_client: HttpClient,
     /// Metrics served on the readiness address.
     pub metrics: MetricSet,
     /// Notified to send load messages to the peers at once, without waiting for the next interval.
@@ -84,6 +86,8 @@
     pub permit_asks: PermitAsks,
     /// Notified when there is a notice to write to the store.
     pub notice_update: Notify,
+    /// Notified when an upstream may be in doubt.
+    pub doubt_update: Notify,
     /// Cached reports of stalled requests, by the replica that was queried.
     pub stalled_reports: Mutex<HashMap<UpstreamKey, StalledReport>>,
     /// Current phase of a graceful shutdown.
@@ -141,10 +145,12 @@
         pool: ConnectionPool::default(),
         buffered_bytes: BufferedBytes::default(),
         client: fetch::client(),
+        unpooled_client: fetch::unpooled_client(),
         metrics: MetricSet::new()?,
         peer_update: Notify::new(),
         permit_asks: PermitAsks::default(),
         notice_update: Notify::new(),
+        doubt_update: Notify::new(),
         stalled_reports: Mutex::default(),
         shutdown,
         config,
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::ClockTime;
 use crate::gateway::discovery::{follow_gateways, register};
+use crate::gateway::doubt::ask_doubted;
 use crate::gateway::notice::{follow_notices, read_notices, write_notices};
 use crate::gateway::placement_runner::{run_placement, PlacementHandle};
 use crate::gateway::run::Gateway;
@@ -72,6 +73,8 @@
     spawn_lasting("notices", move || {
         follow_notices(follow_gateway.clone(), follow_store.clone())
     });
+    let doubt_gateway = gateway.clone();
+    spawn_lasting("doubt", move || ask_doubted(doubt_gateway.clone()));
     let (notice_gateway, notice_store) = (gateway.clone(), store.clone());
     spawn_lasting("notice_writer", move || {
         write_notices(notice_gateway.clone(), notice_store.clone())
@@ -448,6 +451,7 @@
                 EntrySource::Watch => upstreams.apply_entry(now, entry),
             };
             if changed {
+                gateway.doubt_update.notify_one();
                 spdlog::info!(
                     "event=upstream_updated {line} revision={}",
                     item.mod_revision
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -134,6 +134,22 @@
     direct: bool,
 }
 
+/// Whether what was heard from an upstream under the name of another incarnation may be true of this
+/// one: an answer does not say which incarnation gave it, and one that has just started answers before
+/// the registry has its entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing was heard under the name of another incarnation.
+    Clear,
+    /// It gets no requests until it has answered a query. `asked` tells whether one is under way.
+    Doubted {
+        /// Whether a query is under way.
+        asked: bool,
+    },
+    /// It has answered since, and speaks for itself.
+    Settled,
+}
+
 /// What this gateway knows of one incarnation of an upstream, and its load there.
 #[derive(Clone, Debug)]
 pub struct UpstreamRecord {
@@ -158,6 +174,8 @@
     pub said_leaving: bool,
     /// Whether a peer has told that the upstream said so to the peer.
     pub told_leaving: bool,
+    /// Whether words of another incarnation may be those of this one.
+    standing: Standing,
     /// End of the time for which the upstream itself asked to be left alone.
     rest_until: ClockTime,
     /// Newest report to this gateway or to a peer that the upstream is dead. `None` if there was
@@ -275,9 +293,20 @@
         !self.registered() || self.suspected(now) || now < self.paused_until
     }
 
-    /// Whether the registry has the upstream and it is not draining. It may be suspect or paused.
+    /// Whether the registry has the upstream, it is not draining, and no word of another incarnation is
+    /// in doubt. It may be suspect or paused.
     pub fn registered(&self) -> bool {
-        !self.gone && !self.entry.draining && self.gone_at.is_none()
+        !self.gone && !self.entry.draining && self.gone_at.is_none() && !self.doubted()
+    }
+
+    /// Whether it is in doubt whether words of another incarnation are those of this one.
+    pub fn doubted(&self) -> bool {
+        matches!(self.standing, Standing::Doubted { .. })
+    }
+
+    /// Whether anything was heard of this incarnation that may have been said by the next one.
+    fn leaves_doubt(&self) -> bool {
+        self.said_leaving || self.told_leaving || self.doubted()
     }
 }
 
@@ -291,6 +320,9 @@
     /// Start of the incarnation that is known to be leaving, by id of the upstream, for entries
     /// that are read later.
     leaving: HashMap<String, u64>,
+    /// Start of the incarnation that a peer knows to be leaving, by address of the upstream, where
+    /// this gateway does not know that incarnation.
+    told_elsewhere: HashMap<SocketAddr, u64>,
     version: u64,
 }
 
@@ -364,7 +396,11 @@
             }
             record.gone = true;
         }
-        let draining = entry.draining || self.leaving.get(&entry.id) == Some(&entry.born);
+        let draining = entry.draining || self.is_barred(&entry);
+        let standing = match self.may_have_spoken(&entry) {
+            true => Standing::Doubted { asked: false },
+            false => Standing::Clear,
+        };
         let key = UpstreamKey(u32::try_from(self.records.len()).unwrap_or(u32::MAX));
         self.ids.insert(entry.id.clone(), key);
         self.addresses.insert(entry.address, key);
@@ -378,6 +414,7 @@
             refusals: 0,
             said_leaving: false,
             told_leaving: false,
+            standing,
             rest_until: now,
             death_report: None,
             unanswered_since: None,
@@ -396,6 +433,26 @@
         true
     }
 
+    /// Whether the incarnation of an entry is known to be leaving, before its entry was known.
+    fn is_barred(&self, entry: &UpstreamEntry) -> bool {
+        let born = Some(&entry.born);
+        let is_told = self.told_elsewhere.get(&entry.address) == born;
+        // Incarnations of unknown start cannot be told apart.
+        entry.born != 0 && (is_told || self.leaving.get(&entry.id) == born)
+    }
+
+    /// Whether the incarnation of a new entry may have said what is filed under another one.
+    fn may_have_spoken(&self, entry: &UpstreamEntry) -> bool {
+        let previous = self.ids.get(&entry.id).map(|key| self.get(*key));
+        let is_other = |born: &u64| *born != entry.born || entry.born == 0;
+        previous.is_some_and(|previous| previous.leaves_doubt())
+            || self.leaving.get(&entry.id).is_some_and(is_other)
+            || self
+                .told_elsewhere
+                .get(&entry.address)
+                .is_some_and(is_other)
+    }
+
     /// Applies an entry of a full read. After a restore of the store the read may return what the
     /// upstream wrote long ago: an entry that is no newer than what is known of its incarnation, or
     /// that is of an earlier one, is ignored until the upstream writes again. Otherwise as
@@ -610,14 +667,60 @@
     /// not its registry entry is known yet. Returns whether it was known and not draining before.
     pub fn bar_incarnation(&mut self, id: &str, born: u64) -> bool {
         self.leaving.insert(id.to_owned(), born);
-        let key = self.ids.get(id).copied();
-        let key = key.filter(|key| self.get(*key).entry.born == born);
-        key.is_some_and(|key| self.mark_draining(key))
+        let Some(key) = self.ids.get(id).copied() else {
+            return false;
+        };
+        match self.get(key).entry.born == born {
+            true => self.mark_draining(key),
+            false => {
+                self.doubt(key);
+                false
+            }
+        }
+    }
+
+    /// Records that a peer knows an incarnation to be leaving that started at `born`, and that this
+    /// gateway does not know at this address.
+    pub fn apply_told_elsewhere(&mut self, address: SocketAddr, born: u64) {
+        self.told_elsewhere.insert(address, born);
+        if let Some(key) = self.by_address(address) {
+            self.doubt(key);
+        }
     }
 
     /// Forgets the barred incarnations whose registry entries are not known.
     pub fn forget_barred_incarnations(&mut self) {
         self.leaving.clear();
+        self.told_elsewhere.clear();
+    }
+
+    /// Puts an upstream in doubt unless it has answered before.
+    fn doubt(&mut self, key: UpstreamKey) {
+        let record = &mut self.records[key.0 as usize];
+        if record.standing == Standing::Clear {
+            record.standing = Standing::Doubted { asked: false };
+            self.version += 1;
+        }
+    }
+
+    /// Returns the upstreams in doubt that no query is under way for, and records that one is.
+    pub fn take_doubted(&mut self) -> Vec<UpstreamKey> {
+        let mut taken = Vec::new();
+        for (key, record) in (0..).map(UpstreamKey).zip(&mut self.records) {
+            let is_unasked = record.standing == Standing::Doubted { asked: false };
+            if is_unasked && !record.gone && !record.entry.draining {
+                record.standing = Standing::Doubted { asked: true };
+                taken.push(key);
+            }
+        }
+        taken
+    }
+
+    /// Records that an upstream has answered a query that was sent since it came into doubt, and
+    /// did not say that it is leaving.
+    pub fn settle(&mut self, key: UpstreamKey) {
+        self.records[key.0 as usize].standing = Standing::Settled;
+        self.version += 1;
     }
 
     /// Adds a request of this gateway that is expected to need `reserved_kv` of KV memory, in
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -7,7 +7,7 @@
     RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, HeaderValue, Request};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 
 use crate::gateway::rate_limit::LimitStatement;
 use crate::gateway::upstream::LayerRange;
@@ -23,12 +23,13 @@
 const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-token-count");
 const LENGTH_HINT: HeaderName = HeaderName::from_static("x-length-hint");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
-const EXPECT_REPLICA: HeaderName = HeaderName::from_static("x-expect-replica");
+pub(super) const EXPECT_REPLICA: HeaderName = HeaderName::from_static("x-expect-replica");
 const EXPECT_VERSION: HeaderName = HeaderName::from_static("x-expect-version");
 const PRIORITY: HeaderName = HeaderName::from_static("x-request-priority");
 const HOPS: HeaderName = HeaderName::from_static("x-hops");
 const REPLICA_STAMP: HeaderName = HeaderName::from_static("x-replica-stamp");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
+const REPLICA_ID: HeaderName = HeaderName::from_static("x-replica-id");
 const AT_SERVER: HeaderName = HeaderName::from_static("at-server");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
@@ -265,6 +266,34 @@
     header_text(headers, &SERVER_LEAVING) == "1"
 }
 
+/// What the response to a health check says of the upstream that gave it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum HealthStatement {
+    /// It takes requests, or rejects some for want of room.
+    Serving,
+    /// It is leaving.
+    Leaving,
+    /// It does not consider itself healthy.
+    Failing,
+    /// It is not the upstream that was asked.
+    Other,
+}
+
+/// Parses the response to a health check of the upstream with the id `id`.
+pub fn health_statement(id: &str, status: StatusCode, headers: &HeaderMap) -> HealthStatement {
+    let answered_by = header_text(headers, &REPLICA_ID);
+    let is_other = !answered_by.is_empty() && answered_by != id;
+    // A replica that has no room rejects a health check like any other request, and says so.
+    let is_rejected = headers.contains_key(NOT_EXECUTED) || headers.contains_key(RETRY_AFTER);
+    match status {
+        StatusCode::MISDIRECTED_REQUEST => HealthStatement::Other,
+        _ if is_other => HealthStatement::Other,
+        _ if is_leaving(headers) => HealthStatement::Leaving,
+        StatusCode::SERVICE_UNAVAILABLE if !is_rejected => HealthStatement::Failing,
+        _ => HealthStatement::Serving,
+    }
+}
+
 /// Parses how many requests a second the upstream of a response takes from all gateways together.
 pub fn limit_statement(headers: &HeaderMap) -> LimitStatement {
     let values = headers.get_all(SERVER_LIMIT).iter();
--- a/src/platform/order.rs
+++ b/src/platform/order.rs
@@ -12,7 +12,9 @@
 use crate::fetch::json_request;
 use crate::gateway::placement::OrderReply;
 use crate::gateway::upstream::LayerRange;
-use crate::platform::headers::chain_text;
+use crate::platform::headers::{chain_text, EXPECT_REPLICA};
+
+const REPORT_PATH: &str = "/api/report";
 
 /// A request that makes no progress, as a replica reports it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -47,7 +49,7 @@
     let mut request = json_request(Method::POST, &format!("http://{address}/api/order"), body)?;
     let value = HeaderValue::from_str(id)
         .wrap_err("could not put the replica id into the x-expect-replica header")?;
-    request.headers_mut().insert("x-expect-replica", value);
+    request.headers_mut().insert(EXPECT_REPLICA, value);
     Ok(request)
 }
 
@@ -96,7 +98,25 @@
 ///
 /// If the URL of the address is invalid.
 pub fn report_request(address: SocketAddr) -> eyre::Result<Request<Full<Bytes>>> {
-    let request = Request::get(format!("http://{address}/api/report"));
+    let request = Request::get(format!("http://{address}{REPORT_PATH}"));
+    Ok(request.body(Full::default())?)
+}
+
+/// Builds the health check of a replica. `path` is that of its service; without one, the replica is
+/// asked for its report.
+///
+/// # Errors
+///
+/// If the URL or the id is invalid.
+pub fn health_request(
+    address: SocketAddr,
+    id: &str,
+    path: &str,
+) -> eyre::Result<Request<Full<Bytes>>> {
+    let path = Some(path).filter(|path| path.starts_with('/'));
+    let path = path.unwrap_or(REPORT_PATH);
+    let request = Request::get(format!("http://{address}{path}"));
+    let request = request.header(EXPECT_REPLICA, id);
     Ok(request.body(Full::default())?)
 }
 
--- a/src/platform/serving_config.rs
+++ b/src/platform/serving_config.rs
@@ -59,6 +59,8 @@
     name: String,
     #[serde(default)]
     max_connections: u32,
+    #[serde(default)]
+    health_path: String,
     engine: Option<RawEngine>,
 }
 
@@ -199,6 +201,7 @@
         ServiceRule {
             name: raw.name,
             max_connections: raw.max_connections,
+            health_path: raw.health_path,
             engine: engine.map(EngineRule::from),
         }
     }
--- a/standins/tests/gateway.rs
+++ b/standins/tests/gateway.rs
@@ -1,7 +1,6 @@
 //! End-to-end tests of gateway processes over sockets: failures of replicas, gateways, the store
 //! and callers that the gateways must handle.
 
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
--- a/tests/gateway/adapter.rs
+++ b/tests/gateway/adapter.rs
@@ -1,7 +1,7 @@
 //! Tests of the platform adapter: decoding of the configuration, registry entries, headers and
 //! reports.
 
-use http::{HeaderMap, Request};
+use http::{HeaderMap, Request, StatusCode};
 use lynxcart::fingerprint::RequestFingerprint;
 use lynxcart::gateway::catalog::WorkKind;
 use lynxcart::gateway::notice::KeptNotice;
@@ -9,10 +9,11 @@
 use lynxcart::gateway::placement::OrderReply;
 use lynxcart::gateway::upstream::LayerRange;
 use lynxcart::platform::headers::{
-    caller_headers, request_meta, response_meta, store_era, upstream_request, AddedHeaders,
+    caller_headers, health_statement, request_meta, response_meta, store_era, upstream_request,
+    AddedHeaders, HealthStatement,
 };
 use lynxcart::platform::notice::{decode_notice, encode_notice};
-use lynxcart::platform::order::{decode_report, order_reply};
+use lynxcart::platform::order::{decode_report, health_request, order_reply};
 use lynxcart::platform::registry::decode_entry;
 use lynxcart::platform::serving_config::decode_config;
 use lynxcart::platform::NOTICE_PREFIX;
@@ -460,3 +461,54 @@
         assert!(decode_notice(&item).is_err(), "{name}");
     }
 }
+
+#[test]
+fn health_check_tells_a_replica_that_is_leaving_from_one_without_room() {
+    struct Case {
+        status: u16,
+        headers: &'static [(&'static str, &'static str)],
+        expected: HealthStatement,
+    }
+    let case = |status, headers, expected| Case {
+        status,
+        headers,
+        expected,
+    };
+    let own = ("x-replica-id", "i-1");
+    let cases = [
+        case(200, &[], HealthStatement::Serving),
+        case(404, &[], HealthStatement::Serving),
+        case(503, &[], HealthStatement::Failing),
+        case(503, &[("x-not-executed", "1")], HealthStatement::Serving),
+        case(503, &[("retry-after", "2")], HealthStatement::Serving),
+        case(200, &[("server-leaving", "1")], HealthStatement::Leaving),
+        case(503, &[("server-leaving", "1")], HealthStatement::Leaving),
+        case(200, &[("x-replica-id", "i-2")], HealthStatement::Other),
+        case(421, &[], HealthStatement::Other),
+    ];
+    for case in cases {
+        for with_id in [false, true] {
+            let mut rows = case.headers.to_vec();
+            if with_id && !rows.iter().any(|(name, _)| *name == own.0) {
+                rows.push(own);
+            }
+            let status = StatusCode::from_u16(case.status).unwrap();
+            let statement = health_statement("i-1", status, &headers(&rows));
+            assert_eq!(statement, case.expected, "{} {rows:?}", case.status);
+        }
+    }
+}
+
+#[test]
+fn health_check_names_the_replica_and_falls_back_on_its_report() {
+    let paths = [
+        ("/healthz", "/healthz"),
+        ("", "/api/report"),
+        ("x", "/api/report"),
+    ];
+    for (path, expected) in paths {
+        let request = health_request("10.0.0.1:80".parse().unwrap(), "i-1", path).unwrap();
+        assert_eq!(request.uri().path(), expected);
+        assert_eq!(request.headers()["x-expect-replica"], "i-1");
+    }
+}
--- a/tests/gateway/fixture.rs
+++ b/tests/gateway/fixture.rs
@@ -74,6 +74,7 @@
         services: vec![ServiceRule {
             name: SERVICE.to_owned(),
             max_connections: 1_000,
+            health_path: "/healthz".to_owned(),
             engine: Some(engine()),
         }],
         ..ServingConfig::default()
--- a/tests/gateway/peer.rs
+++ b/tests/gateway/peer.rs
@@ -148,3 +148,25 @@
         "the report of p is old"
     );
 }
+
+#[test]
+fn word_of_an_unknown_incarnation_that_is_leaving_is_not_lost() {
+    let (_, table) = placed_fleet();
+    let address = table.get(key_of(&table, "l4-c-01")).entry.address;
+    for (leaving, expected) in [
+        (false, vec![]),
+        (true, vec![PeerReport::LeavingElsewhere(address, 99)]),
+    ] {
+        let load = GatewayLoad {
+            loads: vec![UpstreamLoad {
+                address: address.to_string(),
+                born: 99,
+                leaving,
+                ..UpstreamLoad::default()
+            }],
+            ..GatewayLoad::default()
+        };
+        let mut peers = PeerTable::default();
+        assert_eq!(peers.apply_report(NOW, PEER, &load, &table), expected);
+    }
+}
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -393,6 +393,11 @@
             table.expire_missing(later);
             table.apply_entry(later, entry(3, case.born));
             let returned = table.by_address(address).unwrap();
+            assert!(!table.get(returned).registered(), "{}", case.name);
+            // Only a new incarnation is asked, and answers that it does not leave.
+            let asked = table.take_doubted();
+            assert_eq!(asked == [returned], case.registered, "{}", case.name);
+            asked.into_iter().for_each(|key| table.settle(key));
             let record = table.get(returned);
             assert_eq!(record.registered(), case.registered, "{}", case.name);
         }
@@ -431,3 +436,123 @@
         );
     }
 }
+
+/// Entry of an incarnation of a replica, at the revision that is its start.
+fn incarnation(born: u64) -> UpstreamEntry {
+    UpstreamEntry {
+        born,
+        ..plain_entry("x", born)
+    }
+}
+
+fn newest(table: &UpstreamTable) -> UpstreamKey {
+    let address = incarnation(1).address;
+    table.by_address(address).expect("it should be known")
+}
+
+#[test]
+fn incarnation_that_may_have_said_it_is_leaving_is_unused_until_it_answers() {
+    struct Case {
+        name: &'static str,
+        /// What happens while the registry has the first incarnation.
+        before: fn(&mut UpstreamTable),
+        /// What happens once it has the second one.
+        after: fn(&mut UpstreamTable),
+    }
+    fn nothing(_: &mut UpstreamTable) {}
+    let cases = [
+        Case {
+            name: "said so",
+            before: |table| assert!(table.mark_leaving(newest(table))),
+            after: nothing,
+        },
+        Case {
+            name: "a peer was told",
+            before: |table| assert!(table.mark_told_leaving(newest(table))),
+            after: nothing,
+        },
+        Case {
+            name: "the store says so of the first incarnation",
+            before: |table| assert!(table.bar_incarnation("x", 1)),
+            after: nothing,
+        },
+        Case {
+            name: "the store says so later",
+            before: nothing,
+            after: |table| assert!(!table.bar_incarnation("x", 1)),
+        },
+        Case {
+            name: "a peer names an incarnation that is not known",
+            before: |table| table.apply_told_elsewhere(incarnation(1).address, 7),
+            after: nothing,
+        },
+        Case {
+            name: "a peer names the first incarnation later",
+            before: nothing,
+            after: |table| table.apply_told_elsewhere(incarnation(1).address, 1),
+        },
+        Case {
+            name: "one in between did not answer",
+            before: |table| {
+                table.mark_leaving(newest(table));
+                table.apply_entry(
+                    NOW,
+                    UpstreamEntry {
+                        born: 2,
+                        ..incarnation(5)
+                    },
+                );
+            },
+            after: nothing,
+        },
+    ];
+    for case in cases {
+        let mut table = UpstreamTable::default();
+        table.apply_entry(NOW, incarnation(1));
+        (case.before)(&mut table);
+        table.apply_entry(NOW, incarnation(9));
+        (case.after)(&mut table);
+        let key = newest(&table);
+        assert_eq!(table.get(key).entry.born, 9, "{}", case.name);
+        assert!(!table.get(key).registered(), "{}", case.name);
+        assert_eq!(table.take_doubted(), [key], "{}", case.name);
+        assert_eq!(table.take_doubted(), [], "{}: asked twice", case.name);
+        table.settle(key);
+        assert!(table.get(key).usable(NOW), "{}", case.name);
+        // The same words are heard again, of before it answered.
+        table.apply_told_elsewhere(incarnation(1).address, 1);
+        table.bar_incarnation("x", 1);
+        assert!(table.get(key).usable(NOW), "{}", case.name);
+        assert!(table.mark_leaving(key) && !table.get(key).registered());
+    }
+}
+
+#[test]
+fn incarnation_that_is_known_to_be_leaving_is_barred_without_asking() {
+    let told: [fn(&mut UpstreamTable); 2] = [
+        |table| assert!(!table.bar_incarnation("x", 9)),
+        |table| table.apply_told_elsewhere(incarnation(1).address, 9),
+    ];
+    for tell in told {
+        let mut table = UpstreamTable::default();
+        tell(&mut table);
+        table.apply_entry(NOW, incarnation(9));
+        assert!(table.get(newest(&table)).entry.draining);
+        assert_eq!(table.take_doubted(), []);
+    }
+}
+
+#[test]
+fn incarnation_after_one_that_the_registry_had_draining_is_used_at_once() {
+    let mut table = UpstreamTable::default();
+    let draining = true;
+    table.apply_entry(
+        NOW,
+        UpstreamEntry {
+            draining,
+            ..incarnation(1)
+        },
+    );
+    table.apply_entry(NOW, incarnation(2));
+    assert!(table.get(newest(&table)).usable(NOW));
+}
