Ask a new incarnation also if its predecessor named a limit or asked for rest

Found by looking for the class, not reported.

What callers would see: a replica that asks to be left alone, or names a limit, gets the requests of all gateways again when its entry comes, and fails or delays them. The health check that settles a doubt now also heeds a limit, and a 503 with the time for which the replica rests.

The unit test of rests took the next incarnation for usable without asking; it now checks that it is asked.

--- a/src/gateway/doubt.rs
+++ b/src/gateway/doubt.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::gateway::notice::note_leaving;
+use http::StatusCode;
+
+use crate::gateway::notice::{note_leaving, note_limit};
 use crate::gateway::permit::acquire_permit;
 use crate::gateway::run::Gateway;
 use crate::gateway::upstream::UpstreamKey;
-use crate::platform::headers::{health_statement, HealthStatement};
+use crate::platform::headers::{health_statement, limit_statement, rest_ms, HealthStatement};
 use crate::platform::order::health_request;
 
 /// Timeout of one health check, milliseconds.
@@ -68,7 +70,7 @@
     }
 }
 
-/// Sends one health check. Returns `None` if there is no answer.
+/// Sends one health check, and heeds what else the answer says. Returns `None` if there is no answer.
 async fn ask(gateway: &Arc<Gateway>, key: UpstreamKey) -> Option<HealthStatement> {
     if !acquire_permit(gateway, key).await {
         return None;
@@ -83,8 +85,19 @@
             health_request(entry.address, &entry.id, path).ok()?,
         )
     };
+    let sent_at = gateway.clock.now();
     let exchange = gateway.unpooled_client.request(request);
     let timeout = Duration::from_millis(HEALTH_TIMEOUT_MS);
     let response = tokio::time::timeout(timeout, exchange).await.ok()?.ok()?;
-    Some(health_statement(&id, response.status(), response.headers()))
+    let (status, headers) = (response.status(), response.headers());
+    let statement = health_statement(&id, status, headers);
+    if statement != HealthStatement::Other {
+        note_limit(gateway, key, limit_statement(headers), sent_at);
+        let rest_ms = rest_ms(headers).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+        if let Some(rest_ms) = rest_ms {
+            let now = gateway.clock.now();
+            gateway.state().upstreams.rest(now, key, rest_ms);
+        }
+    }
+    Some(statement)
 }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -305,8 +305,9 @@
     }
 
     /// Whether anything was heard of this incarnation that may have been said by the next one.
-    fn leaves_doubt(&self) -> bool {
-        self.said_leaving || self.told_leaving || self.doubted()
+    fn leaves_doubt(&self, now: ClockTime) -> bool {
+        let is_limited = self.limit.is_some() || self.resting(now);
+        self.said_leaving || self.told_leaving || is_limited || self.doubted()
     }
 }
 
@@ -397,7 +398,7 @@
             record.gone = true;
         }
         let draining = entry.draining || self.is_barred(&entry);
-        let standing = match self.may_have_spoken(&entry) {
+        let standing = match self.may_have_spoken(now, &entry) {
             true => Standing::Doubted { asked: false },
             false => Standing::Clear,
         };
@@ -442,10 +443,10 @@
     }
 
     /// Whether the incarnation of a new entry may have said what is filed under another one.
-    fn may_have_spoken(&self, entry: &UpstreamEntry) -> bool {
+    fn may_have_spoken(&self, now: ClockTime, entry: &UpstreamEntry) -> bool {
         let previous = self.ids.get(&entry.id).map(|key| self.get(*key));
         let is_other = |born: &u64| *born != entry.born || entry.born == 0;
-        previous.is_some_and(|previous| previous.leaves_doubt())
+        previous.is_some_and(|previous| previous.leaves_doubt(now))
             || self.leaving.get(&entry.id).is_some_and(is_other)
             || self
                 .told_elsewhere
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -302,7 +302,7 @@
 }
 
 /// Parses how long an upstream asks to be left alone: seconds, which may include fractions.
-fn rest_ms(headers: &HeaderMap) -> Option<u64> {
+pub fn rest_ms(headers: &HeaderMap) -> Option<u64> {
     let text = header_text(headers, &RETRY_AFTER);
     if text.is_empty() {
         return None;
--- a/standins/tests/reborn.rs
+++ b/standins/tests/reborn.rs
@@ -5,7 +5,9 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use standins::site::TestSite;
+use futures_util::future::join_all;
+use standins::replica::ReplicaState;
+use standins::site::{SiteRequest, TestSite};
 
 /// Time after which a gateway that passed on that a replica is leaving sends it no request, in
 /// milliseconds. It is the shortest of the users' sites.
@@ -111,3 +113,53 @@
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_an_incarnation_asked_for_before_its_entry_was_known_is_kept() {
+    struct Case {
+        name: &'static str,
+        ask: fn(&mut ReplicaState),
+        /// Requests that may reach it at once through three gateways, by the users' rules: two for
+        /// each while it asks to be left alone; for a limit of two a second, one and a half times
+        /// what it allows in four seconds, and five.
+        allowed: u32,
+    }
+    let cases = [
+        Case {
+            name: "reborn-rest",
+            ask: |state| state.rest = "10",
+            allowed: 6,
+        },
+        Case {
+            name: "reborn-limit",
+            ask: |state| state.limits = &["2"],
+            allowed: 17,
+        },
+    ];
+    for case in cases {
+        let site = start_site(case.name, 3).await;
+        let replica = site.plain_addresses[0];
+        site.replicas.change(replica, |state| {
+            state.dead = true;
+            state.incarnation += 1;
+            (case.ask)(state);
+        });
+        for gateway in 0..3 {
+            site.count_arrivals(gateway, replica).await;
+        }
+        site.replicas.change(replica, |state| state.dead = false);
+        tokio::time::sleep(Duration::from_millis(REGISTRY_READ_MS)).await;
+        let before = site.replicas.state(replica).arrivals;
+        let requests = (0..90).map(|number| {
+            let request = SiteRequest::lookup(&format!("q{number}"));
+            let site = &site;
+            async move { site.fetch(number % 3, &request).await }
+        });
+        for answer in join_all(requests).await {
+            let status = answer.expect("the gateway should respond").status;
+            assert!([200, 503].contains(&status), "{}: {status}", case.name);
+        }
+        let arrivals = site.replicas.state(replica).arrivals - before;
+        assert!(arrivals <= case.allowed, "{}: {arrivals}", case.name);
+    }
+}
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -215,7 +215,7 @@
     assert!(!table.get(key).usable(NOW + 1_999));
     assert_eq!(table.get(key).rest_ms(NOW + 500), 1_500);
     assert!(table.get(key).usable(NOW + 2_000));
-    // The next incarnation asked for nothing.
+    // The next incarnation may be who asked for it, and is usable once it answers otherwise.
     table.rest(NOW + 3_000, key, 2_000);
     table.apply_entry(
         NOW + 3_100,
@@ -225,6 +225,9 @@
         },
     );
     let next = table.by_address("10.0.0.2:80".parse().unwrap()).unwrap();
+    assert_eq!(table.take_doubted(), [next]);
+    assert!(!table.get(next).usable(NOW + 3_100));
+    table.settle(next);
     assert!(table.get(next).usable(NOW + 3_100));
 }
 
@@ -451,7 +454,7 @@
 }
 
 #[test]
-fn incarnation_that_may_have_said_it_is_leaving_is_unused_until_it_answers() {
+fn incarnation_that_may_have_spoken_under_another_name_is_unused_until_it_answers() {
     struct Case {
         name: &'static str,
         /// What happens while the registry has the first incarnation.
@@ -471,6 +474,16 @@
             before: |table| assert!(table.mark_told_leaving(newest(table))),
             after: nothing,
         },
+        Case {
+            name: "named a limit",
+            before: |table| table.set_limit(newest(table), Some(2.0)),
+            after: nothing,
+        },
+        Case {
+            name: "asked to be left alone",
+            before: |table| table.rest(NOW, newest(table), 1),
+            after: nothing,
+        },
         Case {
             name: "the store says so of the first incarnation",
             before: |table| assert!(table.bar_incarnation("x", 1)),
