Do not take each heartbeat of a leaving upstream for a change

The entry was compared with the flag that it brought, not with the one that is kept.

Before: heartbeats_of_an_upstream_that_said_it_is_leaving_change_nothing failed at the first heartbeat. After: it passes.

--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -384,12 +384,12 @@
                     }
                 }
                 record.gone = false;
+                // A draining upstream does not become available again in the same incarnation.
+                let draining = record.entry.draining || entry.draining;
                 let changed = record.gone_at.take().is_some()
-                    || record.entry.draining != entry.draining
+                    || record.entry.draining != draining
                     || record.entry.layers != entry.layers
                     || record.entry.address != entry.address;
-                // A draining upstream does not become available again in the same incarnation.
-                let draining = record.entry.draining || entry.draining;
                 self.addresses.insert(entry.address, key);
                 record.entry = UpstreamEntry { draining, ..entry };
                 self.version += u64::from(changed);
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -569,3 +569,15 @@
     table.apply_entry(NOW, incarnation(2));
     assert!(table.get(newest(&table)).usable(NOW));
 }
+
+#[test]
+fn heartbeats_of_an_upstream_that_said_it_is_leaving_change_nothing() {
+    let mut table = UpstreamTable::default();
+    table.apply_entry(NOW, plain_entry("x", 1));
+    table.mark_leaving(newest(&table));
+    let version = table.version();
+    for revision in 2..5 {
+        assert!(!table.apply_entry(NOW, plain_entry("x", revision)));
+    }
+    assert_eq!(table.version(), version);
+}
