Let only the next events of another run into a stream that broke off

Cause: a run that goes on was taken for one by its status 2xx alone. The splitter passed on whatever ends with a blank line, and a clean end of any such answer completed the stream. Class: an answer judged by its frame and not by what it owes.

One that brings nothing new does not complete the stream: its end cannot be told from an error's, so that the stream is broken off, and the caller can ask for the rest itself. A stream whose events have no ids is not continued, since a second run would repeat them. A first run has to be 200 and of the type of an event stream, if it names one. Where a caller itself goes on after an event, earlier ones are not repeated to it.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -24,7 +24,7 @@
 use crate::gateway::run::Gateway;
 use crate::gateway::upstream::UpstreamKey;
 use crate::gateway::upstream_attempt::{FailedAttempt, OpenResponse, UpstreamAttempt};
-use crate::platform::headers::{caller_headers, ResponseMeta};
+use crate::platform::headers::{body_type, caller_headers, ResponseMeta};
 
 /// Interval at which the first replica of a chain is queried for stalled requests while no events
 /// arrive, milliseconds.
@@ -100,6 +100,8 @@
     attempt: UpstreamAttempt,
     meta: ResponseMeta,
     body: Incoming,
+    /// Type of the body that the caller was told.
+    body_type: String,
     /// Whether the body has neither a length nor chunks, so that it ends with its connection.
     ends_with_connection: bool,
     splitter: EventSplitter,
@@ -124,15 +126,17 @@
     opened: OpenResponse,
 ) -> Response<GatewayBody> {
     let (head, body) = opened.response.into_parts();
+    let splitter = EventSplitter::after(context.meta.last_event_id);
     let relay = EventRelay {
         gateway: gateway.clone(),
         context,
         ledger,
         attempt: opened.attempt,
         meta: opened.meta,
+        body_type: body_type(&head.headers),
         ends_with_connection: ends_with_connection(&head.headers),
         body,
-        splitter: EventSplitter::default(),
+        splitter,
         early_steps: VecDeque::new(),
         avoid: Vec::new(),
         finished: false,
@@ -196,6 +200,10 @@
                     self.attempt.note_crash(&self.context, upstream_key);
                     String::from("ended before the first event")
                 }
+                StreamStep::Ended if self.splitter.is_empty_continuation() => {
+                    self.attempt.settle();
+                    String::from("the run that was to continue it brought no event")
+                }
                 StreamStep::Ended => {
                     self.finished = true;
                     self.attempt.record_end();
@@ -226,8 +234,7 @@
     /// Whether the connection ended before any event of the answer, as that of a replica that crashed
     /// right after the response head does.
     fn ended_before_first_event(&self) -> bool {
-        let last_event = self.splitter.last_id().or(self.context.meta.last_event_id);
-        self.ends_with_connection && last_event.is_none()
+        self.ends_with_connection && self.splitter.last_id().is_none()
     }
 
     /// Waits for the next step of the stream, and checks on a silent one. Returns `None` if there is
@@ -357,9 +364,18 @@
         Err(io::Error::other(reason.to_owned()))
     }
 
+    /// Whether the answer of another run can go on in the caller's stream.
+    fn continues(&self, opened: &OpenResponse) -> bool {
+        let is_success = opened.response.status().is_success();
+        is_success && body_type(opened.response.headers()) == self.body_type
+    }
+
     /// Resumes the stream at another upstream after the last forwarded event. The wait for free
     /// capacity is limited and counted from `lost_at`.
     async fn resume(&mut self, reason: &str, lost_at: ClockTime) -> Result<(), String> {
+        if !self.splitter.can_continue() {
+            return Err(format!("{reason}; its events have no ids to go on from"));
+        }
         let mut failed = FailedAttempt {
             failure: AttemptFailure::Lost,
             key: self.attempt.target.upstream,
@@ -377,7 +393,7 @@
             }
             self.avoid.push(failed.key);
             let resume = StreamResume {
-                last_event_id: self.splitter.last_id().or(self.context.meta.last_event_id),
+                last_event_id: self.splitter.last_id(),
                 lost_at,
             };
             let ledger = &mut self.ledger;
@@ -390,7 +406,7 @@
             )
             .await;
             match opened {
-                Ok(opened) if opened.response.status().is_success() => {
+                Ok(opened) if self.continues(&opened) => {
                     self.attempt = opened.attempt;
                     self.meta = opened.meta;
                     self.ends_with_connection = ends_with_connection(opened.response.headers());
@@ -400,6 +416,13 @@
                     return Ok(());
                 }
                 Ok(opened) => {
+                    spdlog::warn!(
+                        "event=stream_continuation_rejected request={} upstream={} status={} type={:?}",
+                        self.context.meta.id,
+                        opened.attempt.target.upstream_id,
+                        opened.response.status().as_u16(),
+                        body_type(opened.response.headers())
+                    );
                     failed = FailedAttempt {
                         failure: AttemptFailure::Failed,
                         key: opened.attempt.target.upstream,
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::ClockTime;
 use crate::gateway::attempt_ledger::AttemptFailure;
+use crate::gateway::catalog::WorkKind;
 use crate::gateway::forward::RequestContext;
 use crate::gateway::notice::{note_crash, note_leaving, note_limit};
 use crate::gateway::part_ledger::{ReplicaEnd, SuspectRun, PROOF_MS};
@@ -20,7 +21,9 @@
 use crate::gateway::run::Gateway;
 use crate::gateway::state::SendTarget;
 use crate::gateway::upstream::UpstreamKey;
-use crate::platform::headers::{response_meta, upstream_request, AddedHeaders, ResponseMeta};
+use crate::platform::headers::{
+    may_be_event_stream, response_meta, upstream_request, AddedHeaders, ResponseMeta,
+};
 
 /// Longest idle time of a pooled connection that is reused for a request that must not run twice,
 /// milliseconds. The upstream may be closing a connection that has been idle for longer.
@@ -299,7 +302,10 @@
             key: faulty.unwrap_or(key),
         });
     }
-    let valid = meta.has_request_id && !meta.encoded && (meta.stamped || !status.is_success());
+    let is_streaming = context.admitted.kind == WorkKind::Streaming;
+    let fits_route = !is_streaming || may_be_event_stream(status, response.headers());
+    let fits_success = meta.stamped && fits_route;
+    let valid = meta.has_request_id && !meta.encoded && (fits_success || !status.is_success());
     if !valid {
         attempt.progress.is_settled = true;
         spdlog::warn!(
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use http::header::{
-    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
-    RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HOST, PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
@@ -261,6 +261,19 @@
 /// one is taken for a garbled header.
 const MAX_REST_MS: f64 = 3_600_000.0;
 
+/// Type of a response's body without parameters, as "type/subtype"; empty if it states none.
+pub fn body_type(headers: &HeaderMap) -> String {
+    let text = header_text(headers, &CONTENT_TYPE);
+    let essence = text.split(';').next().unwrap_or(text);
+    essence.trim().to_ascii_lowercase()
+}
+
+/// Whether a response can be the stream of events that a streaming route answers with.
+pub fn may_be_event_stream(status: StatusCode, headers: &HeaderMap) -> bool {
+    let body_type = body_type(headers);
+    status == StatusCode::OK && (body_type.is_empty() || body_type == "text/event-stream")
+}
+
 /// Whether a response says that its upstream is leaving.
 pub fn is_leaving(headers: &HeaderMap) -> bool {
     header_text(headers, &SERVER_LEAVING) == "1"
--- a/standins/src/raw.rs
+++ b/standins/src/raw.rs
@@ -41,6 +41,15 @@
         /// Whether the connection is reset in the middle of the body.
         is_reset: bool,
     },
+    /// Sends some events of a stream in chunks, then closes the connection.
+    BreaksOff {
+        /// Number of events.
+        events: u64,
+        /// End of each line of an event.
+        line_end: &'static str,
+    },
+    /// Writes an answer as it stands, with `{id}` replaced by the id of the request.
+    Writes(&'static str),
     /// Sends whole events of a stream, as many as the caller asks for.
     Streams {
         /// Pause before each event, in milliseconds.
@@ -162,31 +171,36 @@
     /// Registers the replica: with the first `layers` layers of the model, or for the plain service
     /// if that is zero. The replicas in the table can have it in their chains.
     pub fn register(&self, store: &KvServer, table: &ReplicaTable, layers: u64) {
+        self.register_as("i-raw", store, table, layers);
+    }
+
+    /// Registers the replica under an id, see [`Self::register`].
+    pub fn register_as(&self, id: &str, store: &KvServer, table: &ReplicaTable, layers: u64) {
         let state = ReplicaState {
-            id: "i-raw".to_owned(),
+            id: id.to_owned(),
             incarnation: 1,
             layers: (0, layers),
             ..ReplicaState::default()
         };
         table.add(self.address, state);
         match layers {
-            0 => self.write_entry(store, "plain", "", 0),
-            _ => self.write_entry(store, "model", "card", layers),
+            0 => self.write_entry(store, id, "plain", "", 0),
+            _ => self.write_entry(store, id, "model", "card", layers),
         }
     }
 
     /// Registers the replica as an accelerator that holds no layers, so that it is sent orders.
     pub fn register_empty(&self, store: &KvServer) {
-        self.write_entry(store, "model", "card", 0);
+        self.write_entry(store, "i-raw", "model", "card", 0);
     }
 
-    fn write_entry(&self, store: &KvServer, service: &str, kind: &str, layers: u64) {
+    fn write_entry(&self, store: &KvServer, id: &str, service: &str, kind: &str, layers: u64) {
         let entry = json!({
             "service": service, "address": self.address.to_string(), "zone": "a", "version": "v1",
             "slots": 64, "state": "ready", "sequence": 1, "born": 1, "kind": kind,
             "layers": {"from": 0, "to": layers, "version": 1},
         });
-        store.put("servers/i-raw", &entry);
+        store.put(&format!("servers/{id}"), &entry);
     }
 
     /// Returns the number of connections on which a flood is being written.
@@ -306,6 +320,18 @@
                 }
                 Err(std::io::ErrorKind::ConnectionAborted.into())
             }
+            RawBehaviour::BreaksOff { events, line_end } => {
+                stream.write_all(stream_head(id).as_bytes()).await?;
+                for number in request.first_event..request.first_event + events {
+                    let event = format!("id: {number}\ndata: token {number}\n\n");
+                    write_chunk(stream, &event.replace('\n', line_end)).await?;
+                }
+                Err(std::io::ErrorKind::ConnectionAborted.into())
+            }
+            RawBehaviour::Writes(answer) => {
+                let answer = answer.replace("{id}", id);
+                stream.write_all(answer.as_bytes()).await
+            }
             RawBehaviour::Streams { interval_ms } => {
                 stream.write_all(stream_head(id).as_bytes()).await?;
                 for number in request.first_event..=request.event_count {
