Escape the key after which the next page of a list is read

What callers would see: a gateway that starts never becomes ready, and one that runs stops following a list for good, if another writer left a key with a space, "&", "%" or a line break in it that is the last of a page.

Cause: the key went into the query of the next page as it was. "invalid uri character" failed the whole read, each time; "&" and "%" would have asked for another page.

--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::{Method, Request};
 use http_body_util::Full;
+use percent_encoding::{utf8_percent_encode, AsciiSet, CONTROLS};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::sync::watch;
@@ -23,6 +24,17 @@
 /// Timeout of one request, milliseconds.
 const REQUEST_TIMEOUT_MS: u64 = 1_200;
 
+/// Characters of a key that a query cannot contain as they are.
+const KEY_ESCAPES: &AsciiSet = &CONTROLS
+    .add(b' ')
+    .add(b'"')
+    .add(b'#')
+    .add(b'%')
+    .add(b'&')
+    .add(b'+')
+    .add(b'<')
+    .add(b'>');
+
 /// A change that a watch reports.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreChange {
@@ -204,7 +216,10 @@
                 items.push(PlatformItem::try_from(item)?);
             }
             match items.last() {
-                Some(last) if page.truncated => page_query = format!("&after={}", last.key),
+                Some(last) if page.truncated => {
+                    let after = utf8_percent_encode(&last.key, KEY_ESCAPES);
+                    page_query = format!("&after={after}");
+                }
                 _ => return Ok((PlatformResponse::Range { revision, items }, era)),
             }
         }
--- a/standins/src/kv.rs
+++ b/standins/src/kv.rs
@@ -9,6 +9,7 @@
 use base64::Engine;
 use http::{Method, Request};
 use hyper::body::Incoming;
+use percent_encoding::percent_decode_str;
 use serde_json::{json, Value};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -118,9 +119,14 @@
 
     /// Writes a key without a lease, as an operator or an upstream does.
     pub fn put(&self, key: &str, value: &Value) {
+        self.put_bytes(key, value.to_string().as_bytes());
+    }
+
+    /// Writes any bytes under a key, as a writer may that knows nothing of its form.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
         let mut data = self.data();
         data.revision += 1;
-        data.put(key, value.to_string().into_bytes(), 0);
+        data.put(key, value.to_vec(), 0);
         self.changed.notify_waiters();
     }
 
@@ -185,10 +191,8 @@
         let param = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
             let mut values = pairs.filter(|(key, _)| *key == name);
-            values
-                .next()
-                .map(|(_, value)| value.to_owned())
-                .unwrap_or_default()
+            let value = values.next().map_or("", |(_, value)| value);
+            percent_decode_str(value).decode_utf8_lossy().into_owned()
         };
         let method = request.method().clone();
         let body = read_body(request).await;
