Keep log lines bounded and whole whatever another writer left

What operators would see: one odd registry entry or notice makes log lines of hundreds of kilobytes at each read, and a key with a line break splits a line into two, of which the second may pretend to be another event.

The text of a line is cut at 4 KiB and its control characters are escaped.

--- a/src/process.rs
+++ b/src/process.rs
@@ -12,9 +12,9 @@
 use gotham::router::builder::{DefineSingleRoute, DrawRoutes, RouterBuilder};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use spdlog::formatter::{pattern, PatternFormatter};
+use spdlog::formatter::{pattern, Pattern, PatternContext, PatternFormatter};
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
-use spdlog::{LevelFilter, Logger, ThreadPool};
+use spdlog::{LevelFilter, Logger, Record, StringBuf, ThreadPool};
 
 use crate::clock::ClockTime;
 use crate::event::EventRing;
@@ -139,6 +139,36 @@
 /// Time given to the log thread to write the last lines, in milliseconds.
 const LOG_FLUSH_MS: u64 = 20;
 
+/// Longest text of a log line, bytes; the rest is cut off. What others write may be of any length.
+const MAX_LINE_BYTES: usize = 4_096;
+
+/// The text of a log line, with control characters escaped, so that it stays one line.
+#[derive(Clone, Debug, Default)]
+struct BoundedLine;
+
+impl Pattern for BoundedLine {
+    fn format(
+        &self,
+        record: &Record<'_>,
+        line: &mut StringBuf,
+        _context: &mut PatternContext<'_, '_>,
+    ) -> spdlog::Result<()> {
+        let mut length = 0;
+        for letter in record.payload().chars() {
+            length += letter.len_utf8();
+            if length > MAX_LINE_BYTES {
+                line.push_str("...");
+                break;
+            }
+            match letter.is_control() {
+                true => line.extend(letter.escape_default()),
+                false => line.push(letter),
+            }
+        }
+        Ok(())
+    }
+}
+
 /// Sets up logging to standard output, with one line of key=value pairs per event. A log thread
 /// writes the lines, so logging never blocks; lines that do not fit its queue are dropped and
 /// counted.
@@ -147,7 +177,8 @@
 ///
 /// If the log thread cannot be started or the logger cannot be built.
 pub fn init_logs(level: LevelFilter) -> eyre::Result<()> {
-    let line_pattern = pattern!("time={date}T{time}.{millisecond} level={level} {payload}{eol}");
+    let line_pattern = pattern!("time={date}T{time}.{millisecond} level={level} {$bounded}{eol}",
+        {$bounded} => BoundedLine::default);
     let sink = StdStreamSink::builder()
         .stdout()
         .formatter(PatternFormatter::new(line_pattern))
--- a/standins/tests/odd_entries.rs
+++ b/standins/tests/odd_entries.rs
@@ -1,11 +1,14 @@
 //! Odd entries, as another writer may leave them, in the lists that gateways read: gateways go on to
 //! follow the lists, and serve.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use standins::site::{SiteRequest, TestSite};
 
+/// Longest line of a log, in bytes: its text and what stands before that.
+const MAX_LINE_BYTES: usize = 4_096 + 200;
+
 /// Values that are no entries, or hardly.
 fn odd_values() -> Vec<Vec<u8>> {
     let nested = |levels: usize| {
@@ -72,7 +75,7 @@
         "lynxcart/duty/placing",
     ];
     let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("odd-entries");
-    let mut site = TestSite::start(logs, 2)
+    let mut site = TestSite::start(logs.clone(), 2)
         .await
         .expect("the site should start");
     for list in lists {
@@ -119,4 +122,25 @@
             .change(site.plain_addresses[1], |state| state.dead = false);
         tokio::time::sleep(Duration::from_millis(1_500)).await;
     }
+    check_logs(&logs);
+}
+
+/// Checks that each line of the logs is one of the gateway's, and bounded.
+fn check_logs(logs: &Path) {
+    let files = std::fs::read_dir(logs).expect("the folder of the logs should be there");
+    let names = files.map(|file| file.expect("a log").path());
+    let logs: Vec<PathBuf> = names.filter(|path| path.extension().is_some()).collect();
+    assert!(!logs.is_empty());
+    for path in logs {
+        let text = std::fs::read_to_string(&path).expect("a log should be text");
+        for line in text.lines() {
+            let start: String = line.chars().take(100).collect();
+            assert!(line.starts_with("time="), "{path:?}: {start}");
+            let length = line.len();
+            assert!(
+                length <= MAX_LINE_BYTES,
+                "{path:?}: {length} bytes: {start}"
+            );
+        }
+    }
 }
--- a/tests/gateway/adapter.rs
+++ b/tests/gateway/adapter.rs
@@ -512,3 +512,31 @@
         assert_eq!(request.headers()["x-expect-replica"], "i-1");
     }
 }
+
+#[test]
+fn entry_with_a_name_that_no_request_or_log_can_hold_names_no_upstream() {
+    let long = "x".repeat(201);
+    let cases = [
+        ("i-1", "v100", true),
+        ("i-1", "zone ü", true),
+        ("i 1", "", true),
+        ("i-\n", "", false),
+        ("i-\u{fe0f}\u{7f}", "", false),
+        ("i-1", "v\t100", false),
+        ("i-1", &long, false),
+        (&long, "", false),
+    ];
+    for (id, kind, expected) in cases {
+        let entry = serde_json::json!({
+            "service": "m", "address": "10.0.0.1:80", "zone": "a", "slots": 1, "state": "ready",
+            "kind": kind,
+        });
+        let item = PlatformItem {
+            key: format!("servers/{id}"),
+            value: entry.to_string().into_bytes(),
+            create_revision: 1,
+            mod_revision: 1,
+        };
+        assert_eq!(decode_entry(0, &item).is_ok(), expected, "{id:?} {kind:?}");
+    }
+}
