Do not take an earlier refusal for the answer to what is sent again

Cause: an answer belongs to a request by its id. A request that a replica refused may be sent to the same one again, if there is no other, and the id of the earlier refusal is the same. Over a connection that was used before, that refusal is believed. Orders of the gateways' own carry no id at all and went over kept connections, so that a refusal left from an earlier exchange could answer one that begins.

A request that was sent to a replica before goes there on a new connection, and so does each order.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -27,7 +27,7 @@
 use crate::gateway::run::Gateway;
 use crate::gateway::state::{AdmittedRequest, GatewayState, RequestHead, SendTarget};
 use crate::gateway::upstream::UpstreamKey;
-use crate::gateway::upstream_attempt::{send_request, FailedAttempt, OpenResponse};
+use crate::gateway::upstream_attempt::{send_request, FailedAttempt, OpenResponse, SendOptions};
 use crate::platform::headers::{request_meta, RequestMeta};
 use crate::verdict::{RefusalReason, RequestRefusal, RunVerdict};
 
@@ -335,8 +335,12 @@
     let last_event_id = resume.and_then(|resume| resume.last_event_id);
     let target = wait_for_target(gateway, context, ledger, avoid, wait_until).await?;
     ledger.record_attempt();
-    let may_retry = ledger.may_retry(gateway.clock.now());
-    send_request(gateway, context, target, last_event_id, may_retry)
+    let options = SendOptions {
+        last_event_id,
+        may_retry: ledger.may_retry(gateway.clock.now()),
+        is_sent_again: avoid.contains(&target.upstream),
+    };
+    send_request(gateway, context, target, options)
         .await
         .map_err(AttemptError::Failed)
 }
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use eyre::eyre;
-use http::{Request, StatusCode};
+use http::{Method, Request, StatusCode};
 use http_body_util::Full;
 
 use crate::fetch::read_whole;
@@ -373,8 +373,13 @@
         QueryFailure::Failed
     })?;
     let sent_at = gateway.clock.now();
+    // An order must not be answered by an earlier refusal that comes once more.
+    let client = match *request.method() {
+        Method::POST => &gateway.unpooled_client,
+        _ => &gateway.client,
+    };
     let exchange = async {
-        let response = gateway.client.request(request).await;
+        let response = client.request(request).await;
         let response = response.map_err(|error| (QueryFailure::Failed, eyre!(error)))?;
         // A 421 comes from another replica, which has the address now.
         let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST;
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -158,6 +158,17 @@
     pub key: UpstreamKey,
 }
 
+/// How a request is sent to its target.
+#[derive(Clone, Copy, Debug)]
+pub struct SendOptions {
+    /// Id of the event after which the stream continues. `None` leaves it to the caller's request.
+    pub last_event_id: Option<u64>,
+    /// Whether the request may be retried elsewhere if this attempt makes no progress.
+    pub may_retry: bool,
+    /// Whether the request was sent to this upstream before.
+    pub is_sent_again: bool,
+}
+
 /// Sends a request to a target and waits for the response headers.
 ///
 /// # Errors
@@ -168,9 +179,13 @@
     gateway: &Arc<Gateway>,
     context: &RequestContext,
     target: SendTarget,
-    last_event_id: Option<u64>,
-    may_retry: bool,
+    options: SendOptions,
 ) -> Result<OpenResponse, FailedAttempt> {
+    let SendOptions {
+        last_event_id,
+        may_retry,
+        is_sent_again,
+    } = options;
     let key = target.upstream;
     let failed = |failure| FailedAttempt { failure, key };
     let mut attempt = UpstreamAttempt {
@@ -186,7 +201,11 @@
         true => u64::MAX,
         false => MAX_REUSE_IDLE_MS,
     };
-    let pooled = gateway.pool.take(now, key, max_idle_ms);
+    // A refusal that the upstream gave this request before may come once more on a kept connection.
+    let pooled = match is_sent_again {
+        true => None,
+        false => gateway.pool.take(now, key, max_idle_ms),
+    };
     let new_connection = pooled.is_none();
     let mut connection = match pooled {
         Some(connection) => connection,
--- a/standins/src/raw.rs
+++ b/standins/src/raw.rs
@@ -48,6 +48,10 @@
         /// End of each line of an event.
         line_end: &'static str,
     },
+    /// Answers with the request's body, but refuses each request whose id begins with "refused" when it
+    /// comes first. When it comes again on a connection that was used before, the refusal is
+    /// written once more before the answer.
+    RefusesAgain,
     /// Writes an answer as it stands, with `{id}` replaced by the id of the request.
     Writes(&'static str),
     /// Sends whole events of a stream, as many as the caller asks for.
@@ -115,6 +119,10 @@
     queries: Arc<AtomicUsize>,
     /// Number of connections on which a flood is being written.
     floods: Arc<AtomicUsize>,
+    /// Number of orders received.
+    orders: Arc<AtomicUsize>,
+    /// Number of orders that came on a connection that was used before.
+    orders_on_kept: Arc<AtomicUsize>,
     /// Ids of the requests received, in order.
     received: Arc<Mutex<Vec<String>>>,
 }
@@ -157,6 +165,8 @@
             query_flood,
             queries: Arc::default(),
             floods: Arc::default(),
+            orders: Arc::default(),
+            orders_on_kept: Arc::default(),
             received: Arc::default(),
         };
         let server = replica.clone();
@@ -213,6 +223,16 @@
         self.queries.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of orders received so far.
+    pub fn orders(&self) -> usize {
+        self.orders.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of orders so far that came on a connection that was used before.
+    pub fn orders_on_kept(&self) -> usize {
+        self.orders_on_kept.load(Ordering::Relaxed)
+    }
+
     /// Returns the ids of the requests received so far.
     pub fn received(&self) -> Vec<String> {
         let received = self.received.lock().unwrap_or_else(PoisonError::into_inner);
@@ -226,7 +246,9 @@
 
     async fn serve(self, mut stream: TcpStream) {
         let mut buffer = Vec::new();
-        while let Some(request) = read_request(&mut stream, &mut buffer).await {
+        let mut is_kept = false;
+        while let Some(mut request) = read_request(&mut stream, &mut buffer).await {
+            request.is_kept = std::mem::replace(&mut is_kept, true);
             // An error means that the gateway has closed the connection.
             if self.answer(&mut stream, &request).await.is_err() {
                 return;
@@ -269,9 +291,13 @@
             return stream.write_all(response("", body).as_bytes()).await;
         }
         if request.path.starts_with("/api/") {
+            let is_kept = usize::from(request.is_kept);
+            self.orders.fetch_add(1, Ordering::Relaxed);
+            self.orders_on_kept.fetch_add(is_kept, Ordering::Relaxed);
             return stream.write_all(response("", "{}").as_bytes()).await;
         }
         let id = &request.id;
+        let is_again = self.received().contains(id);
         self.record(id);
         match self.behaviour {
             RawBehaviour::AnswersTwice {
@@ -328,6 +354,24 @@
                 }
                 Err(std::io::ErrorKind::ConnectionAborted.into())
             }
+            RawBehaviour::RefusesAgain => {
+                let may_refuse = id.starts_with("refused");
+                if may_refuse && (!is_again || request.is_kept) {
+                    let refusal = format!(
+                        "HTTP/1.1 503 Service Unavailable\r\nx-attempt-id: {id}\r\n\
+                         x-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+                    );
+                    stream.write_all(refusal.as_bytes()).await?;
+                }
+                match may_refuse && !is_again {
+                    true => Ok(()),
+                    false => {
+                        stream
+                            .write_all(response(id, &request.body).as_bytes())
+                            .await
+                    }
+                }
+            }
             RawBehaviour::Writes(answer) => {
                 let answer = answer.replace("{id}", id);
                 stream.write_all(answer.as_bytes()).await
@@ -380,6 +424,8 @@
     /// Number of the first event that the caller has not got yet.
     first_event: u64,
     event_count: u64,
+    /// Whether another request came on the connection before.
+    is_kept: bool,
 }
 
 /// Reads one request with a `content-length`. Returns `None` at the end of the connection.
@@ -405,6 +451,7 @@
                         .split_once(',')
                         .and_then(|(_, count)| count.trim().parse().ok())
                         .unwrap_or(1),
+                    is_kept: false,
                 };
                 buffer.drain(..head.len() + 4 + length);
                 return Some(request);
--- a/standins/tests/misbehaviour.rs
+++ b/standins/tests/misbehaviour.rs
@@ -7,6 +7,7 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
+use futures_util::future::join_all;
 use standins::raw::{RawBehaviour, RawReplica};
 use standins::site::{SiteRequest, TestSite, API_KEY};
 
@@ -131,6 +132,66 @@
     }
 }
 
+/// A replica refuses a request, and writes the refusal once more when the request comes again on a
+/// kept connection, and runs it.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_written_again_on_a_kept_connection_is_not_told_of_a_request_that_runs() {
+    let site = start_site("misbehaviour-refused").await;
+    leave_only_raw(&site, &site.plain_addresses).await;
+    let raw = RawReplica::start(RawBehaviour::RefusesAgain, Some(0))
+        .await
+        .expect("the replica should start");
+    raw.register(&site.store, &site.replicas, 0);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let mut came_again = 0;
+    for number in 0..40 {
+        // These leave connections that are used before.
+        let sound = (0..3).map(|other| {
+            let request = SiteRequest::issue(&format!("sound-{number}-{other}"));
+            let site = &site;
+            async move { site.fetch(0, &request).await }
+        });
+        join_all(sound).await;
+        let id = format!("refused-{number}");
+        let request = match number % 2 {
+            0 => SiteRequest::issue(&id),
+            _ => SiteRequest::lookup(&id),
+        };
+        let answer = site.fetch(0, &request).await;
+        let answer = answer.expect("the gateway should respond");
+        let received = raw.received();
+        let arrivals = received.iter().filter(|other| **other == id).count();
+        // It runs whenever it comes again.
+        let expected = if arrivals > 1 { 200 } else { 503 };
+        assert_eq!(answer.status, expected, "{id} came {arrivals} times");
+        assert!(arrivals <= 2, "{id} came {arrivals} times");
+        came_again += u32::from(arrivals > 1);
+    }
+    assert!(came_again > 0, "no refused request was sent again");
+}
+
+/// An order is not answered by what is left of an earlier exchange.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_are_sent_on_connections_of_their_own() {
+    let site = start_site("misbehaviour-orders").await;
+    let raw = RawReplica::start(RawBehaviour::Streams { interval_ms: 10 }, Some(0))
+        .await
+        .expect("the replica should start");
+    site.replicas
+        .change(site.model_addresses[0], |state| state.dead = true);
+    let id = site.replicas.state(site.model_addresses[0]).id;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    site.store.remove(&format!("servers/{id}"));
+    raw.register_empty(&site.store);
+    // Reports are asked for on connections that are kept.
+    let began = Instant::now();
+    while raw.orders() < 2 && began.elapsed() < Duration::from_secs(20) {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(raw.orders() > 0, "no orders");
+    assert_eq!(raw.orders_on_kept(), 0, "of {} orders", raw.orders());
+}
+
 /// Bytes of an event that never ends are no progress: the stalled stream is resumed elsewhere
 /// before its caller gives up.
 #[tokio::test(flavor = "multi_thread")]
