--- a/standins/src/raw.rs
+++ b/standins/src/raw.rs
@@ -323,7 +323,9 @@
             }
             RawBehaviour::Floods(flood) => self.write_flood(stream, flood, id).await,
             RawBehaviour::StreamsUntilClose { events, is_cut } => {
-                stream.write_all(open_head(id).as_bytes()).await?;
+                stream
+                    .write_all(open_head(id, EVENT_STREAM).as_bytes())
+                    .await?;
                 let last = request.event_count.min(request.first_event - 1 + events);
                 for number in request.first_event..=last {
                     let event = format!("id: {number}\ndata: token {number}\n\n");
@@ -336,7 +338,9 @@
                 Err(std::io::ErrorKind::ConnectionAborted.into())
             }
             RawBehaviour::AnswersUntilClose { is_reset } => {
-                stream.write_all(open_head(id).as_bytes()).await?;
+                stream
+                    .write_all(open_head(id, "text/plain").as_bytes())
+                    .await?;
                 let length = request.body.len() / if is_reset { 2 } else { 1 };
                 stream.write_all(&request.body.as_bytes()[..length]).await?;
                 if is_reset {
@@ -400,15 +404,20 @@
     )
 }
 
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Head of an answer that ends with its connection.
-fn open_head(id: &str) -> String {
-    format!("HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-replica-stamp: stamp\r\n\r\n")
+fn open_head(id: &str, body_type: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-replica-stamp: stamp\r\n\
+         content-type: {body_type}\r\n\r\n"
+    )
 }
 
 fn stream_head(id: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-replica-stamp: stamp\r\n\
-         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+         content-type: {EVENT_STREAM}\r\ntransfer-encoding: chunked\r\n\r\n"
     )
 }
 
--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -549,7 +549,10 @@
                 Some((Ok(Frame::data(Bytes::from(event))), (next + 1, guard)))
             }
         });
-        replica_response(&id, StreamBody::new(events).boxed_unsync())
+        let mut response = replica_response(&id, StreamBody::new(events).boxed_unsync());
+        let event_stream = http::HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert("content-type", event_stream);
+        response
     }
 
     /// Waits until the next event of a stream is due and no replica of its chain is dead. Records
