Release quarantined requests only for a part that is confirmed

The request is quarantined at all gateways at 15.373 s. At 15.762 s a part of prompts of others that were at the replicas in the same crashes is suspected, which explains the crashes, and the request is released; it crashes four more replicas until 24.8 s, among them one after a second release of this kind at 22.763 s. A probe then shows the part to be sound. A part is suspected since it was in the crashes; so was the request. Nothing speaks for either before the part is tried.

A suspicion releases nothing now. When a crash after its quarantine confirms the part, the requests are released, as before. A sound request that met three crashes waits for that, four seconds and a crash longer.

Before: with the former rule put back, request_that_crashed_replicas_is_not_ released_for_a_part_that_is_only_suspected fails. After: it passes. GatewayState decides it now; the loop that logged it did before.

--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -213,17 +213,17 @@
 
 /// Judges the crashes under parts of prompts, and has the store keep which parts are refused.
 pub(super) fn judge_parts(gateway: &Gateway, now: ClockTime, state: &mut GatewayState) {
-    for PartRuling {
-        part,
-        certainty,
-        crashes,
-    } in state.parts.judge(now)
-    {
+    for (ruling, released) in state.judge_parts(now) {
+        let PartRuling {
+            part,
+            certainty,
+            crashes,
+        } = ruling;
         spdlog::warn!(
             "event=prompt_part_quarantined part={part} certainty={certainty} crashes={}",
             crashes.len()
         );
-        for fingerprint in state.crashes.forgive(now, &crashes) {
+        for fingerprint in released {
             spdlog::info!("event=request_released fingerprint={fingerprint} part={part}");
             state.notices.add(KeptNotice::Released(fingerprint));
             gateway.notice_update.notify_one();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,6 +8,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::clock::ClockTime;
+use crate::fingerprint::RequestFingerprint;
 use crate::gateway::abandoned::AbandonedRuns;
 use crate::gateway::budget::{BudgetRule, RetryBudget};
 use crate::gateway::catalog::{pick_target, RouteError, RouteTable, ServingConfig, WorkKind};
@@ -15,7 +16,7 @@
 use crate::gateway::crash_ledger::{CrashLedger, CrashSeries};
 use crate::gateway::freshness::FreshnessProof;
 use crate::gateway::notice::NoticeQueue;
-use crate::gateway::part_ledger::{PartLedger, ReplicaEnd};
+use crate::gateway::part_ledger::{PartCertainty, PartLedger, PartRuling, ReplicaEnd};
 use crate::gateway::peer::{LinkKey, PeerTable};
 use crate::gateway::permit_table::{LimitChange, LimitSource, PermitTable};
 use crate::gateway::rate_limit::{LimitStatement, StatedLimit};
@@ -370,6 +371,21 @@
         changed
     }
 
+    /// Judges the crashes under parts of prompts. Returns the parts that are to be quarantined, each with
+    /// the requests that were quarantined for its crashes and are released. A part that is only
+    /// suspected was in the crashes, and may have been beside a request that caused them.
+    pub fn judge_parts(&mut self, now: ClockTime) -> Vec<(PartRuling, Vec<RequestFingerprint>)> {
+        let rulings = self.parts.judge(now).into_iter();
+        let with_released = rulings.map(|ruling| {
+            let released = match ruling.certainty {
+                PartCertainty::Suspected => Vec::new(),
+                PartCertainty::Confirmed => self.crashes.forgive(now, &ruling.crashes),
+            };
+            (ruling, released)
+        });
+        with_released.collect()
+    }
+
     /// Takes one retry for a service out of its budget. Returns false if none is left.
     pub fn spend_retry(&mut self, now: ClockTime, service: &str) -> bool {
         let rule = self.setup.budget;
--- a/tests/gateway/state.rs
+++ b/tests/gateway/state.rs
@@ -6,6 +6,7 @@
 use lynxcart::fingerprint::RequestFingerprint;
 use lynxcart::gateway::budget::BudgetRule;
 use lynxcart::gateway::catalog::{RouteRule, RouteTarget, ServingConfig, TeamRule, WorkKind};
+use lynxcart::gateway::crash_ledger::CrashSeries;
 use lynxcart::gateway::part_ledger::{PromptPart, ReplicaEnd, SuspectRun};
 use lynxcart::gateway::rate_limit::LimitStatement;
 use lynxcart::gateway::state::{ConfigProof, GatewaySetup, GatewayState, RequestHead};
@@ -402,3 +403,48 @@
     let parts: Vec<PromptPart> = rulings.iter().map(|ruling| ruling.part).collect();
     assert_eq!(parts, [part(2)]);
 }
+
+#[test]
+fn request_that_crashed_replicas_is_not_released_for_a_part_that_is_only_suspected() {
+    let mut state = state();
+    let part = |id| PromptPart::new("model", id);
+    let replica = |number: u8| SocketAddr::from(([10, 0, 0, number], 80));
+    let run = |id, part| SuspectRun {
+        fingerprint: RequestFingerprint([id; 16]),
+        parts: vec![part],
+    };
+    let crashing = run(1, part(1));
+    state.parts.record_proof(NOW, &[part(9)], NOW);
+    // The request crashes three replicas, and others with another part are there each time.
+    let mut now = NOW + 10_000;
+    for number in 0..3 {
+        now = now + 3_000;
+        let beside = run(10 + number, part(2));
+        for run in [&crashing, &beside] {
+            let mut series = CrashSeries::default();
+            let (replica, observation) = (replica(number), u64::from(number));
+            let fingerprint = run.fingerprint;
+            let crashes = &mut state.crashes;
+            crashes.record_crash(now, fingerprint, &mut series, replica, observation);
+            state.parts.record_crash(now, replica, run);
+        }
+    }
+    let is_quarantined = |state: &GatewayState, now| {
+        let quarantine_ms = state.crashes.quarantine_ms(now, crashing.fingerprint);
+        quarantine_ms.is_some()
+    };
+    assert!(is_quarantined(&state, now));
+    now = now + 500;
+    let rulings = state.judge_parts(now);
+    let suspected: Vec<PromptPart> = rulings.iter().map(|(ruling, _)| ruling.part).collect();
+    assert_eq!(suspected, [part(2)]);
+    assert!(rulings.iter().all(|(_, released)| released.is_empty()));
+    assert!(is_quarantined(&state, now));
+    // A replica crashes on the part alone: it is to blame.
+    now = now + 6_000;
+    state.parts.record_crash(now, replica(7), &run(77, part(2)));
+    let rulings = state.judge_parts(now + 500);
+    let released = rulings.into_iter().flat_map(|(_, released)| released);
+    assert_eq!(released.collect::<Vec<_>>(), [crashing.fingerprint]);
+    assert!(!is_quarantined(&state, now + 500));
+}
