Soak incarnations that leave early, streams answered by errors, odd entries

The soak draws three more faults: a plain replica that starts anew and says it is leaving 2.5 s before the registry has its new incarnation, a model's replica that answers streams with the head and text of an error under status 200, and odd values under odd keys in the three lists that gateways read. It checks that no line of a whole stream is anything but an event's.

Refusals that are written again are not in it: its replicas answer over HTTP servers, which do not write what is no answer. standins/tests/misbehaviour.rs plays them. The stand-in can also answer 500 without running a request.

--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -40,6 +40,9 @@
 /// Time from the first event of such an answer to the crash, in milliseconds.
 const PART_CRASH_MS: u64 = 60;
 
+/// Answer of a replica whose streams fail, see [`ReplicaState::answers_error`].
+const ERROR_TEXT: &str = "HTTP/1.1 500 Internal Server Error\r\n\r\nout of room\n\n";
+
 /// Whether the prompt of a request has the part that crashes replicas.
 fn has_crashing_part(headers: &HeaderMap) -> bool {
     let mut parts = header_value(headers, "x-prompt-prefix").split(',');
@@ -56,6 +59,8 @@
     LosesResponse,
     /// Refuses with 503 and does not run the request.
     Refuses,
+    /// Answers with 500 and does not run the request.
+    Fails,
     /// Runs the request and responds with the id of another one in `x-attempt-id`.
     WrongRequestId,
 }
@@ -83,6 +88,8 @@
     pub crashed: bool,
     /// Fault in force, for a plain service.
     pub fault: ReplicaFault,
+    /// Whether each stream is answered with the text of an error and status 200, and not run.
+    pub answers_error: bool,
     /// Whether every answer says that the replica is leaving (`server-leaving`). The registry is
     /// not told.
     pub leaving: bool,
@@ -455,6 +462,9 @@
         if state.fault == ReplicaFault::Refuses {
             return refusal(503, None);
         }
+        if state.fault == ReplicaFault::Fails {
+            return text_response(500, "");
+        }
         self.record_run(address, headers, body);
         if body == CRASHES_FIRST {
             // It goes on if its caller leaves.
@@ -495,8 +505,11 @@
                 return refusal(421, Some(*hop));
             }
         }
-        self.record_run(address, headers, body);
         let id = header_value(headers, "x-attempt-id").to_owned();
+        if self.state(address).answers_error {
+            return replica_response(&id, text_response(200, ERROR_TEXT).into_body());
+        }
+        self.record_run(address, headers, body);
         let token_counts = header_value(headers, "x-token-count");
         let event_count: u64 = token_counts
             .split(',')
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -9,6 +9,7 @@
 
 use eyre::{ensure, WrapErr};
 use lynxcart::fetch::{self, HttpClient};
+use lynxcart::platform::{GATEWAY_PREFIX, NOTICE_PREFIX, REGISTRY_PREFIX};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::task::JoinSet;
@@ -49,6 +50,9 @@
 /// Time after which a gateway that passed on that a replica is leaving sends it no request, in
 /// milliseconds. It is the shortest of the users' sites.
 const LEAVE_MS: u64 = 2_000;
+/// Time from the start of a replica until its entry is written, in milliseconds. It is longer than
+/// [`LEAVE_MS`].
+const UNREGISTERED_MS: u64 = 2_500;
 /// Time after the start of a gateway until its signal handlers are installed, in milliseconds. An
 /// earlier SIGHUP would end the process.
 const SIGNAL_READY_MS: u64 = 500;
@@ -99,6 +103,13 @@
     /// A replica of the plain service says in its answers that it is leaving, and returns as a new
     /// incarnation.
     PlainLeaving(usize),
+    /// A replica of the plain service starts anew and says that it is leaving; the registry has its new
+    /// incarnation [`UNREGISTERED_MS`] later. It returns as another one.
+    PlainReborn(usize),
+    /// A model's replica answers streams with the text of an error and status 200.
+    ModelErrors(usize),
+    /// Another writer leaves odd entries in the lists that gateways read.
+    OddEntries,
     /// A replica of the plain service refuses and asks to be left alone for 0.4 s.
     PlainResting(usize),
 }
@@ -325,7 +336,9 @@
         if active.len() < MAX_FAULTS && !blocked {
             inject_fault(site, fault)?;
             let length_ms = match fault {
-                SoakFault::PlainLeaving(_) => rng.random_range(2_000..8_000),
+                SoakFault::PlainLeaving(_) | SoakFault::PlainReborn(_) => {
+                    rng.random_range(2_000..8_000)
+                }
                 _ => rng.random_range(150..2_500),
             };
             let length = Duration::from_millis(length_ms);
@@ -393,7 +406,7 @@
         ReplicaFault::WrongRequestId,
     ];
     let plain = rng.random_range(0..site.plain_addresses.len());
-    match rng.random_range(0..11) {
+    match rng.random_range(0..14) {
         0 => SoakFault::ReplicaLost(model),
         1 => SoakFault::ReplicaRestarted(model),
         2 => SoakFault::PlainReplica(plain, plain_faults[rng.random_range(0..plain_faults.len())]),
@@ -404,6 +417,9 @@
         7 => SoakFault::StoreRestored,
         8 => SoakFault::PlainLeaving(plain),
         9 => SoakFault::PlainResting(plain),
+        10 => SoakFault::PlainReborn(plain),
+        11 => SoakFault::ModelErrors(model),
+        12 => SoakFault::OddEntries,
         _ => SoakFault::ConfigChange,
     }
 }
@@ -413,12 +429,18 @@
     use SoakFault as Fault;
     match (one, other) {
         (
-            Fault::ReplicaLost(a) | Fault::ReplicaRestarted(a),
-            Fault::ReplicaLost(b) | Fault::ReplicaRestarted(b),
+            Fault::ReplicaLost(a) | Fault::ReplicaRestarted(a) | Fault::ModelErrors(a),
+            Fault::ReplicaLost(b) | Fault::ReplicaRestarted(b) | Fault::ModelErrors(b),
         )
         | (
-            Fault::PlainReplica(a, _) | Fault::PlainLeaving(a) | Fault::PlainResting(a),
-            Fault::PlainReplica(b, _) | Fault::PlainLeaving(b) | Fault::PlainResting(b),
+            Fault::PlainReplica(a, _)
+            | Fault::PlainLeaving(a)
+            | Fault::PlainReborn(a)
+            | Fault::PlainResting(a),
+            Fault::PlainReplica(b, _)
+            | Fault::PlainLeaving(b)
+            | Fault::PlainReborn(b)
+            | Fault::PlainResting(b),
         )
         | (
             Fault::GatewayKilled(a) | Fault::GatewaySuspended(a) | Fault::GatewayHangup(a),
@@ -450,6 +472,30 @@
             let address = site.plain_addresses[number];
             site.replicas.change(address, |state| state.leaving = true);
         }
+        SoakFault::PlainReborn(number) => {
+            let address = site.plain_addresses[number];
+            site.replicas.change(address, |state| {
+                state.dead = true;
+                state.leaving = true;
+                state.incarnation += 1;
+            });
+            let replicas = site.replicas.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(UNREGISTERED_MS)).await;
+                replicas.change(address, |state| state.dead = false);
+            });
+        }
+        SoakFault::ModelErrors(number) => {
+            let address = site.model_addresses[number];
+            site.replicas
+                .change(address, |state| state.answers_error = true);
+        }
+        SoakFault::OddEntries => {
+            for prefix in [REGISTRY_PREFIX, GATEWAY_PREFIX, NOTICE_PREFIX] {
+                site.store
+                    .put_bytes(&format!("{prefix}odd & {prefix}"), b"[1e999");
+            }
+        }
         SoakFault::PlainResting(number) => {
             let address = site.plain_addresses[number];
             site.replicas.change(address, |state| state.rest = "0.4");
@@ -490,13 +536,23 @@
                 site.rewrite_config();
             }
         }
-        SoakFault::PlainLeaving(number) => {
+        SoakFault::PlainLeaving(number) | SoakFault::PlainReborn(number) => {
             let address = site.plain_addresses[number];
             site.replicas.change(address, |state| {
                 state.leaving = false;
                 state.incarnation += 1;
             });
         }
+        SoakFault::ModelErrors(number) => {
+            let address = site.model_addresses[number];
+            site.replicas
+                .change(address, |state| state.answers_error = false);
+        }
+        SoakFault::OddEntries => {
+            for prefix in [REGISTRY_PREFIX, GATEWAY_PREFIX, NOTICE_PREFIX] {
+                site.store.remove(&format!("{prefix}odd & {prefix}"));
+            }
+        }
         SoakFault::PlainResting(number) => {
             let address = site.plain_addresses[number];
             site.replicas.change(address, |state| state.rest = "");
@@ -674,6 +730,17 @@
             let ids = response.event_ids();
             let in_order = ids.iter().zip(1..).all(|(id, expected)| *id == expected);
             ensure!(in_order, "event ids not consecutive from 1: {ids:?}");
+            let is_event_line = |line: &str| {
+                let fields = ["id: ", "data: "];
+                line.is_empty() || fields.iter().any(|field| line.starts_with(field))
+            };
+            // The last line of a body that ends early may be part of one.
+            let is_whole = *complete_body && !record.disconnects_early;
+            let foreign = response.body.lines().find(|line| !is_event_line(line));
+            ensure!(
+                foreign.is_none() || request.event_count == 0 || !is_whole,
+                "a line of the stream is no event: {foreign:?}"
+            );
             if !complete_body || record.disconnects_early {
                 return Ok(());
             }
