Do not clear a request that crashes replicas by an error of another one

What callers saw: nothing; a request that crashes replicas is sent on and on while other replicas of its service answer it with errors (BUDGET).

Cause: each whole answer counted as a completion, which clears a request of all its crashes, here and at the peers, without a line in the log. An error need not come of the work that crashes others: a replica that fails part of its requests fails them before it runs them.

Only answers with a status below 400 clear a request now.

Before: error_of_a_replica_does_not_clear_a_request_that_crashes_others, 24 sends: six replicas crashed and the request was never quarantined. After: at most five, and the last four sends are refused.

--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -122,11 +122,10 @@
 ) {
     let now = gateway.clock.now();
     let took_ms = now.since(context.received_at);
-    gateway
-        .state()
-        .crashes
-        .record_completion(now, context.fingerprint);
     let result = if status < 400 {
+        // An error may come before the work that crashes others, and clears nothing.
+        let mut state = gateway.state();
+        state.crashes.record_completion(now, context.fingerprint);
         "answered"
     } else {
         "upstream_failed"
--- a/standins/tests/crashing.rs
+++ b/standins/tests/crashing.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use standins::replica::{CRASHES_FIRST, CRASHES_LAST};
+use standins::replica::{ReplicaFault, CRASHES_FIRST, CRASHES_LAST};
 use standins::site::{SiteRequest, TestSite};
 
 /// Crashes from which on a request has to be known to all gateways.
@@ -103,6 +103,23 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn error_of_a_replica_does_not_clear_a_request_that_crashes_others() {
+    let site = start_site("crashing-beside-errors", 3).await;
+    site.replicas.change(site.plain_addresses[1], |state| {
+        state.fault = ReplicaFault::Fails;
+    });
+    let request = crashing(SiteRequest::issue("p"), CRASHES_FIRST);
+    let statuses = send_rounds(&site, 24, &request).await;
+    let crashes = site.replicas.crashes().len();
+    assert!(crashes >= MAX_CRASHES, "{crashes} replicas, {statuses:?}");
+    assert!(
+        crashes <= MAX_CRASHES_IN_ALL,
+        "{crashes} replicas crashed, {statuses:?}"
+    );
+    assert_eq!(statuses[20..], [503; 4], "{statuses:?}");
+}
+
 /// Without this, one stream of twenty seconds takes down a replica for each reroute.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_that_crashes_replicas_is_not_rerouted_until_its_deadline() {
