Notice within seconds that connections to the store have gone silent

What callers saw: requests reached a replica whose entry the store had taken out long before (DRAIN).

Cause: a watch on the registry waits up to 20 s, and 1.2 s more, before it is given up. Heartbeats answer it at once, so that the wait is never used up while the connection works; on a silent one it is. The next request then took the next idle connection of the pool, which may be as silent.

A registry watch waits no longer than the pause between two of them (0.9 s where the bound is two), which costs no calls where heartbeats come; the watches that are idle most of the time wait five seconds in place of 20. A request that is not answered in time replaces the pool.

The stand-in of a network between gateways and store is new, and the soak has its connections go silent as well.

--- a/src/gateway/discovery.rs
+++ b/src/gateway/discovery.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::gateway::run::Gateway;
-use crate::gateway::sync::{StoreStatus, DISCOVERY_PAUSE_MS, REGISTRY_WATCH_MS};
+use crate::gateway::sync::{StoreStatus, DISCOVERY_PAUSE_MS, IDLE_WATCH_MS};
 use crate::platform::kv::{KvStore, StoreChange, WatchOutcome};
 use crate::platform::GATEWAY_PREFIX;
 use crate::store::position::StorePosition;
@@ -159,7 +159,7 @@
     known: &mut HashMap<String, SocketAddr>,
     after: StorePosition,
 ) -> Result<Option<StorePosition>, String> {
-    match store.watch(GATEWAY_PREFIX, after, REGISTRY_WATCH_MS).await {
+    match store.watch(GATEWAY_PREFIX, after, IDLE_WATCH_MS).await {
         Ok(WatchOutcome::Changes(changes, position)) => {
             for change in &changes {
                 match change {
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -14,7 +14,7 @@
 use crate::gateway::rate_limit::LimitStatement;
 use crate::gateway::run::Gateway;
 use crate::gateway::state::GatewayState;
-use crate::gateway::sync::{StoreStatus, REGISTRY_WATCH_MS};
+use crate::gateway::sync::{StoreStatus, IDLE_WATCH_MS};
 use crate::gateway::upstream::{UpstreamEntry, UpstreamKey};
 use crate::platform::kv::{KvStore, StoreChange, WatchOutcome};
 use crate::platform::notice::{decode_notice, encode_notice};
@@ -375,7 +375,7 @@
     store: &KvStore,
     after: StorePosition,
 ) -> Result<Option<StorePosition>, String> {
-    match store.watch(NOTICE_PREFIX, after, REGISTRY_WATCH_MS).await {
+    match store.watch(NOTICE_PREFIX, after, IDLE_WATCH_MS).await {
         Ok(WatchOutcome::Changes(changes, position)) => {
             let now = gateway.clock.now();
             for change in &changes {
--- a/src/gateway/placement_runner.rs
+++ b/src/gateway/placement_runner.rs
@@ -13,7 +13,7 @@
 use crate::gateway::plan::PlacementPlan;
 use crate::gateway::reroute::{fetch_report, send_to_replica};
 use crate::gateway::run::Gateway;
-use crate::gateway::sync::REGISTRY_WATCH_MS;
+use crate::gateway::sync::IDLE_WATCH_MS;
 use crate::gateway::upstream::UpstreamKey;
 use crate::platform::kv::{KvStore, PositionedResult, StoreChange, WatchOutcome};
 use crate::platform::order::{order_reply, place_request};
@@ -259,10 +259,7 @@
         return true;
     }
     loop {
-        match store
-            .watch(PLACEMENT_LEASE_KEY, after, REGISTRY_WATCH_MS)
-            .await
-        {
+        match store.watch(PLACEMENT_LEASE_KEY, after, IDLE_WATCH_MS).await {
             Ok(WatchOutcome::Changes(changes, position)) => {
                 let removed = |change: &StoreChange| matches!(change, StoreChange::Removed { .. });
                 if changes.last().is_some_and(removed) {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -29,9 +29,12 @@
 /// Upper bound of the wait of one configuration watch, milliseconds. It is the only bound where
 /// `revoke_ms` is not set.
 const MAX_CONFIG_WATCH_MS: u64 = 5_000;
-/// Longest wait of one watch on the registry, the gateways or the placement lease, milliseconds.
-pub(super) const REGISTRY_WATCH_MS: u64 = 20_000;
-/// Pause between two registry watches, as a fraction of `leave_bound_ms`, the time after which a
+/// Longest wait of one watch on the gateways, the notices or the placement lease, milliseconds. A
+/// connection that has gone silent is noticed only after it.
+pub(super) const IDLE_WATCH_MS: u64 = 5_000;
+/// Upper bound of the wait of one registry watch, milliseconds. The store allows 30 s.
+const MAX_REGISTRY_WATCH_MS: u64 = 20_000;
+/// Pause between two registry watches, and longest wait of one, as a fraction of `leave_bound_ms`, the time after which a
 /// draining upstream must get no new requests. Without a pause each watch would return at once,
 /// since heartbeats change the registry all the time.
 const REGISTRY_PAUSE_FRACTION: f64 = 0.45;
@@ -309,7 +312,7 @@
     loop {
         let result = match after {
             None => read_registry(&gateway, &store, &status).await,
-            Some(after) => watch_registry(&gateway, &store, &mut status, after).await,
+            Some(after) => watch_registry(&gateway, &store, &mut status, after, pause_ms).await,
         };
         let now = gateway.clock.now();
         match result {
@@ -383,8 +386,10 @@
     store: &KvStore,
     status: &mut StoreStatus,
     after: StorePosition,
+    wait_ms: u64,
 ) -> Result<Option<StorePosition>, String> {
-    match store.watch(REGISTRY_PREFIX, after, REGISTRY_WATCH_MS).await {
+    let wait_ms = wait_ms.min(MAX_REGISTRY_WATCH_MS);
+    match store.watch(REGISTRY_PREFIX, after, wait_ms).await {
         Ok(WatchOutcome::Changes(changes, position)) => {
             let now = gateway.clock.now();
             let era = position.era;
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -102,10 +102,37 @@
 /// A response and the era of the store that gave it, or why there is no usable one.
 pub type PositionedResult = Result<(PlatformResponse, u64), PlatformError>;
 
-/// Client of the platform's store at one address. Clones share what is known of the store's era.
+/// The pool of connections to the store. It is replaced when a request is not answered in time: the
+/// idle connections may have gone silent as well, and each would cost a timeout.
+#[derive(Debug)]
+struct StorePool(Mutex<(HttpClient, u64)>);
+
+impl StorePool {
+    fn new() -> StorePool {
+        StorePool(Mutex::new((crate::fetch::client(), 0)))
+    }
+
+    /// The present client, and its number.
+    fn client(&self) -> (HttpClient, u64) {
+        let current = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        current.clone()
+    }
+
+    /// Replaces the client with this number, unless it was replaced before.
+    fn replace(&self, number: u64) {
+        let mut current = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if current.1 == number {
+            *current = (crate::fetch::client(), number + 1);
+            spdlog::info!("event=store_connections_replaced");
+        }
+    }
+}
+
+/// Client of the platform's store at one address. Clones share the connections and what is known of the
+/// store's era.
 #[derive(Clone, Debug)]
 pub struct KvStore {
-    client: HttpClient,
+    pool: Arc<StorePool>,
     address: String,
     era: Arc<SharedEra>,
 }
@@ -114,7 +141,7 @@
     /// Creates a client of the store at `address`, as "ip:port".
     pub fn new(address: String) -> KvStore {
         KvStore {
-            client: crate::fetch::client(),
+            pool: Arc::new(StorePool::new()),
             address,
             era: Arc::default(),
         }
@@ -140,7 +167,8 @@
         timeout_ms: u64,
     ) -> Result<(u16, Bytes, u64), PlatformError> {
         let request = request.map_err(|error| PlatformError(error.to_string()))?;
-        let response = send_whole(&self.client, request);
+        let (client, number) = self.pool.client();
+        let response = send_whole(&client, request);
         match tokio::time::timeout(Duration::from_millis(timeout_ms), response).await {
             Ok(Ok(response)) => {
                 let status = response.status().as_u16();
@@ -153,7 +181,11 @@
                 Ok((status, response.into_body(), era))
             }
             Ok(Err(error)) => Err(PlatformError(error.to_string())),
-            Err(_) => Err(PlatformError(format!("no response within {timeout_ms} ms"))),
+            Err(_) => {
+                self.pool.replace(number);
+                let text = format!("no response within {timeout_ms} ms");
+                Err(PlatformError(text))
+            }
         }
     }
 
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod model;
 pub mod platform;
 pub mod process;
+pub mod proxy;
 pub mod raw;
 pub mod replica;
 pub mod scaling;
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -16,6 +16,7 @@
 
 use crate::kv::{KvServer, StoreCopy};
 use crate::process::{free_address, start_lynxcart, FleetProcess};
+use crate::proxy::TcpProxy;
 use crate::replica::{ReplicaState, ReplicaTable};
 
 /// Number of layers of the model.
@@ -34,6 +35,8 @@
 pub struct TestSite {
     /// Store that holds the configuration, the registry and the leases.
     pub store: KvServer,
+    /// Network between the gateways and the store.
+    pub store_network: TcpProxy,
     /// State of all replicas, shared with their servers.
     pub replicas: ReplicaTable,
     /// Addresses of the model's replicas: three in domain `a`, then three in domain `b`.
@@ -48,7 +51,6 @@
     config_version: u64,
     api_keys: Vec<String>,
     log_dir: PathBuf,
-    store_address: SocketAddr,
 }
 
 /// A gateway process of a [`TestSite`].
@@ -184,10 +186,11 @@
         let store = KvServer::default();
         // Bound here and not by the server, so that no other process can take the port.
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let store_address = listener.local_addr()?;
+        let store_network = TcpProxy::start(listener.local_addr()?).await?;
         tokio::spawn(store.clone().run(listener));
         let mut site = TestSite {
             store,
+            store_network,
             replicas: ReplicaTable::default(),
             saved_store: None,
             model_addresses: Vec::new(),
@@ -197,7 +200,6 @@
             config_version: 1,
             api_keys: vec![API_KEY.to_owned()],
             log_dir,
-            store_address,
         };
         site.store
             .put("op/config", &config_document(1, &site.api_keys));
@@ -271,7 +273,7 @@
             ("--front-address", front_address.to_string()),
             ("--ready-address", ready_address.to_string()),
             ("--mail-address", message_address.to_string()),
-            ("--platform", self.store_address.to_string()),
+            ("--platform", self.store_network.address.to_string()),
             ("--failure-domain", "a".to_owned()),
             ("--drain-limit-ms", "8000".to_owned()),
         ];
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -108,6 +108,8 @@
     PlainReborn(usize),
     /// A model's replica answers streams with the text of an error and status 200.
     ModelErrors(usize),
+    /// The open connections between gateways and store go silent, and new ones work.
+    StoreSilent,
     /// Another writer leaves odd entries in the lists that gateways read.
     OddEntries,
     /// A replica of the plain service refuses and asks to be left alone for 0.4 s.
@@ -364,6 +366,7 @@
             | Fault::GatewaySuspended(_)
             | Fault::StoreOutage
             | Fault::StoreRestored
+            | Fault::StoreSilent
     )
 }
 
@@ -406,7 +409,7 @@
         ReplicaFault::WrongRequestId,
     ];
     let plain = rng.random_range(0..site.plain_addresses.len());
-    match rng.random_range(0..14) {
+    match rng.random_range(0..15) {
         0 => SoakFault::ReplicaLost(model),
         1 => SoakFault::ReplicaRestarted(model),
         2 => SoakFault::PlainReplica(plain, plain_faults[rng.random_range(0..plain_faults.len())]),
@@ -420,6 +423,7 @@
         10 => SoakFault::PlainReborn(plain),
         11 => SoakFault::ModelErrors(model),
         12 => SoakFault::OddEntries,
+        13 => SoakFault::StoreSilent,
         _ => SoakFault::ConfigChange,
     }
 }
@@ -466,6 +470,7 @@
         SoakFault::GatewaySuspended(number) => site.gateways[number].process.signal("STOP")?,
         SoakFault::GatewayHangup(number) => site.gateways[number].process.signal("HUP")?,
         SoakFault::StoreOutage => site.store.set_outage(true),
+        SoakFault::StoreSilent => site.store_network.silence_open_connections(),
         SoakFault::ConfigChange => site.publish_config(),
         SoakFault::StoreRestored => site.saved_store = Some(site.store.copy()),
         SoakFault::PlainLeaving(number) => {
@@ -504,7 +509,7 @@
     Ok(())
 }
 
-/// Removes a fault. After a SIGHUP or a configuration change there is nothing to remove.
+/// Removes a fault. After a SIGHUP, a configuration change or a silence there is nothing to remove.
 fn remove_fault(site: &mut TestSite, fault: SoakFault) -> eyre::Result<()> {
     match fault {
         SoakFault::ReplicaLost(number) => {
@@ -557,7 +562,7 @@
             let address = site.plain_addresses[number];
             site.replicas.change(address, |state| state.rest = "");
         }
-        SoakFault::GatewayHangup(_) | SoakFault::ConfigChange => {}
+        SoakFault::GatewayHangup(_) | SoakFault::ConfigChange | SoakFault::StoreSilent => {}
     }
     Ok(())
 }
--- /dev/null
+++ b/standins/tests/silent.rs
@@ -0,0 +1,40 @@
+//! Open connections that go silent for good, without a reset, while new ones work.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use standins::site::{SiteRequest, TestSite};
+
+/// Time from a disturbance after which the users' bounds hold again, in milliseconds.
+const CONTACT_MS: u64 = 3_000;
+/// Time after which a replica whose entry was removed gets no request, in milliseconds.
+const LEAVE_MS: u64 = 2_000;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn replica_that_leaves_behind_silent_connections_to_the_store_gets_no_request() {
+    let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("silent-store");
+    let site = TestSite::start(logs, 3)
+        .await
+        .expect("the site should start");
+    // Watches are under way and idle connections lie in the pools.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let leaving = site.plain_addresses[0];
+    let id = site.replicas.state(leaving).id;
+    site.replicas.change(leaving, |state| state.dead = true);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    site.store_network.silence_open_connections();
+    site.store.remove(&format!("servers/{id}"));
+    tokio::time::sleep(Duration::from_millis(CONTACT_MS + LEAVE_MS)).await;
+    for gateway in 0..3 {
+        let mut arrivals = 0;
+        for number in 0..20 {
+            let request = SiteRequest::lookup(&format!("{gateway}-{number}"));
+            let before = site.replicas.state(leaving).arrivals;
+            let answer = site.fetch(gateway, &request).await;
+            let status = answer.expect("the gateway should respond").status;
+            assert_eq!(status, 200, "gateway {gateway}");
+            arrivals += site.replicas.state(leaving).arrivals - before;
+        }
+        assert_eq!(arrivals, 0, "gateway {gateway}");
+    }
+}
