Ask an incarnation in doubt again when its entry lapses and returns

An incarnation in doubt whose entry lapsed, as entries do while the store is out, was no longer asked, and when the entry came back it stayed in doubt: a replica that does not leave would never have been used again by that gateway.

Before: without the reset, incarnation_in_doubt_is_asked_again_when_its_entry_ lapsed_and_returned fails. After: it passes.

What the store and peers say of leaving incarnations has a module of its own now, and the log names the answer of a health check in words.

--- a/src/gateway/doubt.rs
+++ b/src/gateway/doubt.rs
@@ -58,8 +58,9 @@
         }
         if last_result != Some(result) {
             let took_ms = gateway.clock.now().since(began_at);
+            let answer = result.map_or_else(|| "none".to_owned(), |result| result.to_string());
             spdlog::info!(
-                "event=upstream_asked id={id} born={born} answer={result:?} took_ms={took_ms}"
+                "event=upstream_asked id={id} born={born} answer={answer} took_ms={took_ms}"
             );
         }
         last_result = Some(result);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod forward;
 pub mod freshness;
 pub mod held_plan;
+pub mod leaving;
 pub mod listener;
 pub mod member_view;
 pub mod notice;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 
 use crate::clock::ClockTime;
+use crate::gateway::leaving::{LeavingTable, Standing};
 use crate::store::position::StorePosition;
 
 /// Time for which an upstream stays suspect, milliseconds. It doubles each time that the upstream
@@ -134,22 +135,6 @@
     direct: bool,
 }
 
-/// Whether what was heard from an upstream under the name of another incarnation may be true of this
-/// one: an answer does not say which incarnation gave it, and one that has just started answers before
-/// the registry has its entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Standing {
-    /// Nothing was heard under the name of another incarnation.
-    Clear,
-    /// It gets no requests until it has answered a query. `asked` tells whether one is under way.
-    Doubted {
-        /// Whether a query is under way.
-        asked: bool,
-    },
-    /// It has answered since, and speaks for itself.
-    Settled,
-}
-
 /// What this gateway knows of one incarnation of an upstream, and its load there.
 #[derive(Clone, Debug)]
 pub struct UpstreamRecord {
@@ -318,12 +303,8 @@
     ids: HashMap<String, UpstreamKey>,
     /// The incarnation that registered last at each address.
     addresses: HashMap<SocketAddr, UpstreamKey>,
-    /// Start of the incarnation that is known to be leaving, by id of the upstream, for entries
-    /// that are read later.
-    leaving: HashMap<String, u64>,
-    /// Start of the incarnation that a peer knows to be leaving, by address of the upstream, where
-    /// this gateway does not know that incarnation.
-    told_elsewhere: HashMap<SocketAddr, u64>,
+    /// Incarnations that are known to be leaving, for entries that are read later.
+    leaving: LeavingTable,
     version: u64,
 }
 
@@ -383,7 +364,10 @@
                         record.death_report = None;
                     }
                 }
-                record.gone = false;
+                // Whoever was asking it has stopped.
+                if std::mem::take(&mut record.gone) && record.doubted() {
+                    record.standing = Standing::Doubted { asked: false };
+                }
                 // A draining upstream does not become available again in the same incarnation.
                 let draining = record.entry.draining || entry.draining;
                 let changed = record.gone_at.take().is_some()
@@ -397,7 +381,7 @@
             }
             record.gone = true;
         }
-        let draining = entry.draining || self.is_barred(&entry);
+        let draining = entry.draining || self.leaving.names(&entry);
         let standing = match self.may_have_spoken(now, &entry) {
             true => Standing::Doubted { asked: false },
             false => Standing::Clear,
@@ -434,24 +418,11 @@
         true
     }
 
-    /// Whether the incarnation of an entry is known to be leaving, before its entry was known.
-    fn is_barred(&self, entry: &UpstreamEntry) -> bool {
-        let born = Some(&entry.born);
-        let is_told = self.told_elsewhere.get(&entry.address) == born;
-        // Incarnations of unknown start cannot be told apart.
-        entry.born != 0 && (is_told || self.leaving.get(&entry.id) == born)
-    }
-
     /// Whether the incarnation of a new entry may have said what is filed under another one.
     fn may_have_spoken(&self, now: ClockTime, entry: &UpstreamEntry) -> bool {
         let previous = self.ids.get(&entry.id).map(|key| self.get(*key));
-        let is_other = |born: &u64| *born != entry.born || entry.born == 0;
         previous.is_some_and(|previous| previous.leaves_doubt(now))
-            || self.leaving.get(&entry.id).is_some_and(is_other)
-            || self
-                .told_elsewhere
-                .get(&entry.address)
-                .is_some_and(is_other)
+            || self.leaving.names_another(entry)
     }
 
     /// Applies an entry of a full read. After a restore of the store the read may return what the
@@ -667,7 +638,7 @@
     /// Bars the incarnation of an upstream that started at `born`, since it is leaving, whether or
     /// not its registry entry is known yet. Returns whether it was known and not draining before.
     pub fn bar_incarnation(&mut self, id: &str, born: u64) -> bool {
-        self.leaving.insert(id.to_owned(), born);
+        self.leaving.insert_id(id, born);
         let Some(key) = self.ids.get(id).copied() else {
             return false;
         };
@@ -683,7 +654,7 @@
     /// Records that a peer knows an incarnation to be leaving that started at `born`, and that this
     /// gateway does not know at this address.
     pub fn apply_told_elsewhere(&mut self, address: SocketAddr, born: u64) {
-        self.told_elsewhere.insert(address, born);
+        self.leaving.insert_address(address, born);
         if let Some(key) = self.by_address(address) {
             self.doubt(key);
         }
@@ -691,7 +662,7 @@
 
     /// Forgets the incarnations that the store names as leaving, before all notices are read again.
     pub fn forget_barred_incarnations(&mut self) {
-        self.leaving.clear();
+        self.leaving.forget_ids();
     }
 
     /// Puts an upstream in doubt unless it has answered before.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -8,6 +8,7 @@
 };
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
+use strum::Display;
 
 use crate::gateway::rate_limit::LimitStatement;
 use crate::gateway::upstream::LayerRange;
@@ -280,7 +281,8 @@
 }
 
 /// What the response to a health check says of the upstream that gave it.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
 pub enum HealthStatement {
     /// It takes requests, or rejects some for want of room.
     Serving,
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -585,3 +585,24 @@
     }
     assert_eq!(table.version(), version);
 }
+
+#[test]
+fn incarnation_in_doubt_is_asked_again_when_its_entry_lapsed_and_returned() {
+    let mut table = UpstreamTable::default();
+    table.apply_entry(NOW, incarnation(1));
+    table.mark_leaving(newest(&table));
+    table.apply_entry(NOW, incarnation(2));
+    let key = newest(&table);
+    assert_eq!(table.take_doubted(), [key]);
+    table.remove_entry(NOW, "x", at(3), false);
+    assert!(table.get(key).gone);
+    let born = 2;
+    assert!(table.apply_entry(
+        NOW,
+        UpstreamEntry {
+            born,
+            ..plain_entry("x", 4)
+        }
+    ));
+    assert_eq!(table.take_doubted(), [key]);
+}
