Let a stream whose first answer stated no type go on as a stream of events

Its first answer was an error under status 200 without a type, and the type of a run that goes on had to be the same. Where the caller was told no type, a stream of events fits.

Before: stream_whose_first_answer_is_an_error_is_whole_from_the_next_replica failed for an answer without a type. After: it passes for all five.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -100,7 +100,7 @@
     attempt: UpstreamAttempt,
     meta: ResponseMeta,
     body: Incoming,
-    /// Type of the body that the caller was told.
+    /// Type of the body that the caller was told; empty if none.
     body_type: String,
     /// Whether the body has neither a length nor chunks, so that it ends with its connection.
     ends_with_connection: bool,
@@ -367,7 +367,9 @@
     /// Whether the answer of another run can go on in the caller's stream.
     fn continues(&self, opened: &OpenResponse) -> bool {
         let is_success = opened.response.status().is_success();
-        is_success && body_type(opened.response.headers()) == self.body_type
+        let is_type_known = !self.body_type.is_empty();
+        let fits_type = body_type(opened.response.headers()) == self.body_type;
+        is_success && (fits_type || !is_type_known)
     }
 
     /// Resumes the stream at another upstream after the last forwarded event. The wait for free
--- a/standins/tests/broken_stream.rs
+++ b/standins/tests/broken_stream.rs
@@ -189,3 +189,63 @@
     ];
     join_all(cases.map(check_broken_streams)).await;
 }
+
+/// Sends streams to a replica that answers with an error and to a sound one, and checks that all are
+/// whole.
+async fn check_first_answers(case: NextAnswer) {
+    let failing = start_raw(RawBehaviour::Writes(case.text().leak())).await;
+    let sound = start_raw(RawBehaviour::Streams { interval_ms: 5 }).await;
+    let name = format!("first-{}", case.name);
+    let site = start_site(&name, &failing, &sound).await;
+    for number in 0..60 {
+        let request = SiteRequest::stream(&format!("s{number}"), EVENTS);
+        let response = site.send(0, &request).await.expect(case.name);
+        let (answer, end) = read_up_to(response, usize::MAX).await;
+        let ids: Vec<u64> = (1..=EVENTS).collect();
+        assert_eq!(answer.event_ids(), ids, "{}: {answer:?}", case.name);
+        assert!(end.is_ok(), "{}: {answer:?}", case.name);
+        if failing.received().len() >= STREAMS {
+            return;
+        }
+    }
+    assert!(!failing.received().is_empty(), "{}", case.name);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_whose_first_answer_is_an_error_is_whole_from_the_next_replica() {
+    let answer = NextAnswer {
+        name: "",
+        status: "200 OK",
+        body_type: "",
+        body: "out of room!\n\n",
+        goes_on: false,
+    };
+    let cases = [
+        NextAnswer {
+            name: "no-type",
+            ..answer
+        },
+        NextAnswer {
+            name: "text",
+            body_type: "text/plain",
+            ..answer
+        },
+        NextAnswer {
+            name: "stream",
+            body_type: EVENT_STREAM,
+            ..answer
+        },
+        NextAnswer {
+            name: "no-content",
+            status: "204 No Content",
+            body: "",
+            ..answer
+        },
+        NextAnswer {
+            name: "failure",
+            status: "500 Error",
+            ..answer
+        },
+    ];
+    join_all(cases.map(check_first_answers)).await;
+}
