Hold the head of a stream until there is something to relay

Cause: the head of the first answer went to the caller before its first event was there. If that answer turned out to be an error, and no other run could be made, there was nothing left to refuse.

The first event is awaited now; without one the request is refused (502 or 504, "may have run"). The headers are those of the run that the stream begins with, so that the type and the stamp of an error are not told either. Events come no later than before, and a head without one was of no use to a caller.

Before: stream_that_no_replica_begins_is_refused_and_not_broken_off failed ("error reading a body"). After: it passes, as do the tests of gateways, misbehaviour, floods and broken streams.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -270,7 +270,11 @@
             .observe(first_byte_ms);
         let success = opened.response.status().is_success();
         if success && admitted.kind == WorkKind::Streaming {
-            return relay::stream(gateway, context, ledger, opened);
+            let (id, received_at) = (context.meta.id.clone(), context.received_at);
+            let response = relay::stream(gateway, context, ledger, opened).await;
+            return response.unwrap_or_else(|refusal| {
+                fallback.unwrap_or_else(|| refuse(gateway, &id, received_at, &refusal))
+            });
         }
         let key = opened.attempt.target.upstream;
         let failure = match collect_response(gateway, &context, opened).await {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -25,6 +25,7 @@
 use crate::gateway::upstream::UpstreamKey;
 use crate::gateway::upstream_attempt::{FailedAttempt, OpenResponse, UpstreamAttempt};
 use crate::platform::headers::{body_type, caller_headers, ResponseMeta};
+use crate::verdict::{RefusalReason, RequestRefusal};
 
 /// Interval at which the first replica of a chain is queried for stalled requests while no events
 /// arrive, milliseconds.
@@ -100,7 +101,11 @@
     attempt: UpstreamAttempt,
     meta: ResponseMeta,
     body: Incoming,
-    /// Type of the body that the caller was told; empty if none.
+    /// Headers of the answer, from the run that the caller's stream begins with.
+    headers: HeaderMap,
+    /// Whether the caller was sent the head of the answer.
+    has_begun: bool,
+    /// Type of the body in these headers; empty if none.
     body_type: String,
     /// Whether the body has neither a length nor chunks, so that it ends with its connection.
     ends_with_connection: bool,
@@ -118,16 +123,22 @@
     table_version: u64,
 }
 
-/// Builds the response that relays an upstream's event stream to the caller.
-pub fn stream(
+/// Builds the response that relays an upstream's event stream to the caller, once there is something to
+/// relay: until then the request can still be refused.
+///
+/// # Errors
+///
+/// The refusal, if no replica brings an event.
+pub async fn stream(
     gateway: &Arc<Gateway>,
     context: RequestContext,
     ledger: AttemptLedger,
     opened: OpenResponse,
-) -> Response<GatewayBody> {
+) -> Result<Response<GatewayBody>, RequestRefusal> {
+    let deadline = context.admitted.deadline;
     let (head, body) = opened.response.into_parts();
     let splitter = EventSplitter::after(context.meta.last_event_id);
-    let relay = EventRelay {
+    let mut relay = EventRelay {
         gateway: gateway.clone(),
         context,
         ledger,
@@ -135,6 +146,8 @@
         meta: opened.meta,
         body_type: body_type(&head.headers),
         ends_with_connection: ends_with_connection(&head.headers),
+        headers: head.headers,
+        has_begun: false,
         body,
         splitter,
         early_steps: VecDeque::new(),
@@ -144,16 +157,31 @@
         checked_at: gateway.clock.now(),
         table_version: gateway.state().upstreams.version(),
     };
-    let frames = stream::unfold(relay, |mut relay| async move {
-        let chunk = relay.next().await?;
-        Some((chunk.map(Frame::data), relay))
+    let first = match relay.next().await {
+        Some(Err(error)) => {
+            let reason = match gateway.clock.now() >= deadline {
+                true => RefusalReason::Deadline,
+                false => RefusalReason::UpstreamLost,
+            };
+            return Err(RequestRefusal::may_have_run(reason, error.to_string()));
+        }
+        first => first,
+    };
+    relay.has_begun = true;
+    let headers = caller_headers(&relay.headers);
+    let frames = stream::unfold((relay, first), |(mut relay, first)| async move {
+        let chunk = match first {
+            Some(first) => first,
+            None => relay.next().await?,
+        };
+        Some((chunk.map(Frame::data), (relay, None)))
     });
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
     *response.status_mut() = head.status;
-    *response.headers_mut() = caller_headers(&head.headers);
+    *response.headers_mut() = headers;
     // A resumed stream comes from several upstreams, so its total length is unknown.
     response.headers_mut().remove(CONTENT_LENGTH);
-    response
+    Ok(response)
 }
 
 fn ends_with_connection(headers: &HeaderMap) -> bool {
@@ -355,19 +383,18 @@
             self.context.meta.id,
             self.splitter.last_id()
         );
-        let result = "stream_broken_off";
-        self.gateway
-            .metrics
-            .requests
-            .with_label_values(&[result])
-            .inc();
+        // One that has not begun is refused, and counted then.
+        if self.has_begun {
+            let requests = &self.gateway.metrics.requests;
+            requests.with_label_values(&["stream_broken_off"]).inc();
+        }
         Err(io::Error::other(reason.to_owned()))
     }
 
     /// Whether the answer of another run can go on in the caller's stream.
     fn continues(&self, opened: &OpenResponse) -> bool {
         let is_success = opened.response.status().is_success();
-        let is_type_known = !self.body_type.is_empty();
+        let is_type_known = self.has_begun && !self.body_type.is_empty();
         let fits_type = body_type(opened.response.headers()) == self.body_type;
         is_success && (fits_type || !is_type_known)
     }
@@ -411,7 +438,12 @@
                 Ok(opened) if self.continues(&opened) => {
                     self.attempt = opened.attempt;
                     self.meta = opened.meta;
-                    self.ends_with_connection = ends_with_connection(opened.response.headers());
+                    let headers = opened.response.headers();
+                    self.ends_with_connection = ends_with_connection(headers);
+                    if !self.has_begun {
+                        self.body_type = body_type(headers);
+                        self.headers = headers.clone();
+                    }
                     self.body = opened.response.into_body();
                     self.splitter.restart();
                     self.silent_ms = 0;
--- a/standins/tests/broken_stream.rs
+++ b/standins/tests/broken_stream.rs
@@ -249,3 +249,23 @@
     ];
     join_all(cases.map(check_first_answers)).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_no_replica_begins_is_refused_and_not_broken_off() {
+    let error = NextAnswer {
+        name: "refused",
+        status: "200 OK",
+        body_type: EVENT_STREAM,
+        body: "out of room!\n\n",
+        goes_on: false,
+    };
+    let one = start_raw(RawBehaviour::Writes(error.text().leak())).await;
+    let other = start_raw(RawBehaviour::Writes(error.text().leak())).await;
+    let site = start_site(error.name, &one, &other).await;
+    for number in 0..4 {
+        let request = SiteRequest::stream(&format!("s{number}"), EVENTS);
+        let answer = site.fetch(0, &request).await;
+        let answer = answer.expect("the gateway should respond in full");
+        assert_eq!(answer.status, 502, "{answer:?}");
+    }
+}
