--- a/review/standin.rs
+++ b/review/standin.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 mod case_large_answer;
+mod case_silent_store;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -346,6 +347,10 @@
     changes: Vec<(u64, String, Option<StoreItem>)>,
     leases: HashMap<u64, (Duration, Instant)>,
     next_lease: u64,
+    /// Number of times that the open connections went silent for good.
+    silences: u64,
+    /// Number of answers to watches, by prefix.
+    watches: HashMap<String, u64>,
 }
 
 /// The store: one revision counter, leases, conditional writes and watches.
@@ -421,16 +426,37 @@
         self.0 .1.notify_all();
     }
 
+    /// Has all open connections go silent for good, without a reset. New ones work.
+    pub fn silence_open_connections(&self) {
+        self.0 .0.lock().unwrap().silences += 1;
+    }
+
+    /// Number of answers to watches on a prefix.
+    pub fn watches(&self, prefix: &str) -> u64 {
+        let data = self.0 .0.lock().unwrap();
+        data.watches.get(prefix).copied().unwrap_or(0)
+    }
+
     pub fn serve(&self, listener: TcpListener) {
         let store = self.clone();
         serve_connections(listener, move |mut stream| {
+            let silences = || store.0 .0.lock().unwrap().silences;
+            let opened_after = silences();
             let mut rest = Vec::new();
             while let Some(request) = read_request(&mut stream, &mut rest) {
                 let (status, body) = store.answer(&request);
+                while silences() != opened_after {
+                    // The peer's bytes are read no more, and nothing is sent.
+                    thread::sleep(Duration::from_millis(100));
+                }
                 let headers = [("Content-Type", "application/json")];
                 if write_response(&mut stream, status, &headers, body.as_bytes()).is_err() {
                     return;
                 }
+                if request.path() == "/api/kv-watch" {
+                    let mut data = store.0 .0.lock().unwrap();
+                    *data.watches.entry(request.param("prefix")).or_default() += 1;
+                }
             }
         });
     }
@@ -752,24 +778,54 @@
     )
 }
 
-/// Registers a replica now and about every heartbeat.
-pub fn keep_registered(store: &Store, id: &str, address: SocketAddr) {
-    let (store, id, born) = (store.clone(), id.to_owned(), now_ms());
-    let mut sequence = 1;
-    let mut beat = move || {
+/// A replica's entry in the store, which each heartbeat writes again.
+#[derive(Clone)]
+pub struct Registration {
+    store: Store,
+    id: String,
+    address: SocketAddr,
+    born: u64,
+    /// Heartbeats so far, and whether the replica is leaving.
+    state: Arc<Mutex<(u64, bool)>>,
+}
+
+impl Registration {
+    fn beat(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.0 += 1;
+        let (sequence, word) = (state.0, if state.1 { "draining" } else { "ready" });
+        let (address, born) = (self.address, self.born);
         let entry = format!(
             "{{\"service\":\"registro-cdc\",\"address\":\"{address}\",\"zone\":\"norte-es-a\",\
-             \"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"cold_remaining_ms\":0,\
+             \"version\":\"v1\",\"slots\":6,\"state\":\"{word}\",\"cold_remaining_ms\":0,\
              \"born\":{born},\"sequence\":{sequence}}}"
         );
-        store.put(&format!("servers/{id}"), &entry);
-        sequence += 1;
+        self.store.put(&format!("servers/{}", self.id), &entry);
+    }
+
+    /// Reports that the replica is leaving. The store has accepted it when this returns.
+    pub fn leave(&self) {
+        self.state.lock().unwrap().1 = true;
+        self.beat();
+    }
+}
+
+/// Registers a replica now and about every heartbeat.
+pub fn keep_registered(store: &Store, id: &str, address: SocketAddr) -> Registration {
+    let registration = Registration {
+        store: store.clone(),
+        id: id.to_owned(),
+        address,
+        born: now_ms(),
+        state: Arc::default(),
     };
-    beat();
+    registration.beat();
+    let beating = registration.clone();
     thread::spawn(move || loop {
         thread::sleep(Duration::from_millis(1_200));
-        beat();
+        beating.beat();
     });
+    registration
 }
 
 fn main() {
@@ -792,6 +848,7 @@
     let logs = std::env::var("REVIEW_TMP").unwrap_or_else(|_| "/tmp".to_owned());
     let code = match case {
         "large-answer" => case_large_answer::run(&record, trouble, &logs),
+        "silent-store" => case_silent_store::run(&record, trouble, &logs),
         _ => 2,
     };
     record.line(&format!("exit code {code}"));
