--- a/review/standin.rs
+++ b/review/standin.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 mod case_large_answer;
+mod case_raised_limit;
 mod case_silent_store;
 
 extern "C" {
@@ -750,16 +751,11 @@
 
 /// The operator's manifest: one route of each plain kind to one service, and one tenant.
 pub fn manifest(version: u64) -> String {
-    manifest_with(version, &[("mill", "key-of-mill")])
+    manifest_with(version, 16_384)
 }
 
-/// The manifest with these tenants, each with its key.
-pub fn manifest_with(version: u64, tenants: &[(&str, &str)]) -> String {
-    let tenants = tenants.iter().map(|(name, key)| {
-        format!("{{\"name\":\"{name}\",\"api_keys\":[\"{key}\"],\"priority\":1}}")
-    });
-    let tenants: Vec<String> = tenants.collect();
-    let tenants = tenants.join(",");
+/// The manifest with this bound of a request's head.
+pub fn manifest_with(version: u64, max_header_bytes: usize) -> String {
     let route = |name: &str, kind: &str, attempts: u32| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"mill.example\",\"prefix\":\"/{name}/\",\
@@ -770,9 +766,9 @@
     format!(
         "{{\"version\":{version},\"routes\":[{},{}],\"services\":[{{\"name\":\"registro-cdc\",\
          \"health_path\":\"/healthz\",\"max_connections\":110,\"protocol\":\"h1\",\"tls\":false}}],\
-         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
+         \"limits\":{{\"max_header_bytes\":{max_header_bytes},\"max_body_bytes\":4194304,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
-         \"tenants\":[{tenants}]}}",
+         \"tenants\":[{{\"name\":\"mill\",\"api_keys\":[\"key-of-mill\"],\"priority\":1}}]}}",
         route("issue", "non_idempotent", 1),
         route("lookup", "idempotent", 2),
     )
@@ -848,6 +844,7 @@
     let logs = std::env::var("REVIEW_TMP").unwrap_or_else(|_| "/tmp".to_owned());
     let code = match case {
         "large-answer" => case_large_answer::run(&record, trouble, &logs),
+        "raised-limit" => case_raised_limit::run(&record, trouble, &logs),
         "silent-store" => case_silent_store::run(&record, trouble, &logs),
         _ => 2,
     };
