--- a/review/case_silent_store.rs
+++ b/review/case_silent_store.rs
@@ -126,9 +126,11 @@
     while store.watches("servers/") == watches {
         thread::sleep(Duration::from_millis(1));
     }
-    let silent_at = Instant::now();
     if trouble {
         store.silence_open_connections();
+    }
+    let silent_at = Instant::now();
+    if trouble {
         record.line("the open connections to the store go silent; new ones work");
     }
     let sent: Arc<Mutex<Vec<(String, Instant)>>> = Arc::default();
