--- a/review/case_raised_limit.rs
+++ b/review/case_raised_limit.rs
@@ -1,4 +1,4 @@
-//! Case 3: the manifest raises the bound of a request's head, and clients go on with the connections
+//! Case 4: the manifest raises the bound of a request's head, and clients go on with the connections
 //! that they have.
 
 use std::io::{Read, Write};
--- a/review/case_silent_store.rs
+++ b/review/case_silent_store.rs
@@ -1,4 +1,4 @@
-//! Case 2: the gateway's open connections to the store go silent for good, and a replica leaves.
+//! Case 3: the gateway's open connections to the store go silent for good, and a replica leaves.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
