--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -200,6 +200,7 @@
             http_address,
             message_address,
             &args,
+            &[],
         )?;
         self.entries.push(process);
         Ok(())
@@ -278,6 +279,7 @@
             http_address,
             message_address,
             &args,
+            &[],
         )
     }
 
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -159,7 +159,7 @@
     spawn_process(command, log_dir, name, http_address, message_address, args)
 }
 
-/// Starts lynxcart with the subcommand `role`.
+/// Starts lynxcart with the subcommand `role` and, beside flags, settings as environment variables.
 pub(crate) fn start_lynxcart(
     log_dir: &Path,
     name: &str,
@@ -167,9 +167,13 @@
     http_address: SocketAddr,
     message_address: SocketAddr,
     args: &[(&str, String)],
+    settings: &[(&'static str, String)],
 ) -> eyre::Result<FleetProcess> {
     let mut command = Command::new(program_directory()?.join("lynxcart"));
     command.arg(role).env("LYNXCART_KEYS", "fleet-secret");
+    for (variable, value) in settings {
+        command.env(variable, value);
+    }
     spawn_process(command, log_dir, name, http_address, message_address, args)
 }
 
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -51,6 +51,8 @@
     config_version: u64,
     api_keys: Vec<String>,
     log_dir: PathBuf,
+    /// Environment variables of the gateways.
+    settings: Vec<(&'static str, String)>,
 }
 
 /// A gateway process of a [`TestSite`].
@@ -182,6 +184,19 @@
     ///
     /// If a process or a listener cannot be started, or a gateway is not ready in time.
     pub async fn start(log_dir: PathBuf, gateways: usize) -> eyre::Result<TestSite> {
+        TestSite::start_with(log_dir, gateways, &[]).await
+    }
+
+    /// Starts a site whose gateways have the given settings, as environment variables.
+    ///
+    /// # Errors
+    ///
+    /// If a process or a listener cannot be started, or a gateway is not ready in time.
+    pub async fn start_with(
+        log_dir: PathBuf,
+        gateways: usize,
+        settings: &[(&'static str, String)],
+    ) -> eyre::Result<TestSite> {
         std::fs::create_dir_all(&log_dir)?;
         let store = KvServer::default();
         // Bound here and not by the server, so that no other process can take the port.
@@ -200,6 +215,7 @@
             config_version: 1,
             api_keys: vec![API_KEY.to_owned()],
             log_dir,
+            settings: settings.to_vec(),
         };
         site.store
             .put("op/config", &config_document(1, &site.api_keys));
@@ -286,6 +302,7 @@
             front_address,
             message_address,
             &args,
+            &self.settings,
         )?;
         ensure!(
             process.http_address == front_address,
