Bound what a gateway holds for its callers

Cause: bodies, heads and answers were read without a bound over the process, each chunk kept with its own buffer. Clients that send large bodies and stop short of their end took a gateway beyond its VM's memory.

Change: CallerLedger, without I/O, counts what is held for all callers: a quarter of the VM's memory, half of its descriptors. The largest request that is not read completely goes first, with a 503 if its head was read; one that is served never goes. Chunks are joined, a body announced as too large is refused unread, and times of heads and idle connections follow the configuration in force. Answers take up to half of the room and count until they are written. The answers' bound of 32 MB is replaced by that half.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -49,6 +49,12 @@
     /// bound of a planned stop, milliseconds (LYNXCART_DRAIN_LIMIT_MS)
     #[argh(option)]
     drain_limit_ms: Option<String>,
+    /// memory of this VM, of which callers may take a quarter, megabytes (LYNXCART_MEMORY_MB)
+    #[argh(option)]
+    memory_mb: Option<String>,
+    /// descriptors that the process may open, half of them for callers (LYNXCART_DESCRIPTORS)
+    #[argh(option)]
+    descriptors: Option<String>,
     /// least level that is logged (LYNXCART_LOG)
     #[argh(option)]
     log: Option<String>,
@@ -73,6 +79,7 @@
                 min_gateways: config::min_gateways(self.entry_count.as_ref())?,
             },
             drain_limit_ms: config::drain_limit_ms(self.drain_limit_ms.as_ref())?,
+            caller_room: config::caller_room(self.memory_mb.as_ref(), self.descriptors.as_ref())?,
         })
     }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -10,9 +10,16 @@
 
 use crate::agent::owner::OwnerSetup;
 use crate::gateway::budget::BudgetRule;
+use crate::gateway::caller_ledger::CallerRoom;
 use crate::messaging::ProcessIdentity;
+use crate::process;
 use crate::wire::FrameKeys;
 
+/// Smallest memory that a VM may be said to have, megabytes.
+const MIN_MEMORY_MB: u64 = 32;
+/// Memory up to which the default is what the system reports, megabytes.
+const MAX_DEFAULT_MEMORY_MB: u64 = 256;
+
 /// Kind and address of the upstream beside an agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpstreamAddress {
@@ -128,6 +135,8 @@
     pub budget: BudgetRule,
     /// Maximum duration of a graceful shutdown, in milliseconds.
     pub drain_limit_ms: u64,
+    /// Bounds of what is held for all callers together.
+    pub caller_room: CallerRoom,
 }
 
 impl AgentConfig {
@@ -198,6 +207,8 @@
     setting("LYNXCART_BUDGET_WINDOW_MS", "10000", "100 to 3600000 ms"),
     setting("LYNXCART_BUDGET_EXTRA", "50", "0 to 1000000 repeats"),
     setting("LYNXCART_ENTRY_COUNT", "4", "1 to 1000 gateways"),
+    setting("LYNXCART_MEMORY_MB", "-", "32 to 1048576 MB"),
+    setting("LYNXCART_DESCRIPTORS", "-", "64 to 1048576 descriptors"),
     setting("LYNXCART_LOG", "info", "error, warn, info or debug"),
     setting(
         "LYNXCART_ENTRY",
@@ -414,6 +425,27 @@
     Ok(f64::from(u32::try_from(count)?))
 }
 
+/// Bounds of what a gateway holds for its callers: a quarter of `memory`, the memory of its VM in
+/// megabytes, and a connection for each second of `descriptors`, those that it may open. Default: the
+/// system's memory, at most 256 MB, and the process's limit of descriptors.
+pub fn caller_room(
+    memory: Option<&String>,
+    descriptors: Option<&String>,
+) -> eyre::Result<CallerRoom> {
+    let memory_mb = match setting_text(memory, "LYNXCART_MEMORY_MB")?.as_str() {
+        "" => process::system_memory_mb().clamp(MIN_MEMORY_MB, MAX_DEFAULT_MEMORY_MB),
+        _ => parse_number(memory, "LYNXCART_MEMORY_MB", MIN_MEMORY_MB, 1_048_576)?,
+    };
+    let descriptors = match setting_text(descriptors, "LYNXCART_DESCRIPTORS")?.as_str() {
+        "" => process::descriptor_limit().clamp(64, 1_048_576),
+        _ => parse_number(descriptors, "LYNXCART_DESCRIPTORS", 64, 1_048_576)?,
+    };
+    Ok(CallerRoom {
+        bytes: usize::try_from(memory_mb * 1_000_000 / 4)?,
+        connections: usize::try_from(descriptors / 2)?,
+    })
+}
+
 /// Name of the upstream of an agent or of the VM of a gateway. Mandatory.
 pub fn instance_name(flag: Option<&String>) -> eyre::Result<String> {
     parse_name(flag, "LYNXCART_NAME")
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -11,12 +11,13 @@
 use http::header::HOST;
 use http::request::Parts;
 use http::{Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 
 use crate::clock::ClockTime;
 use crate::fingerprint::RequestFingerprint;
 use crate::gateway::attempt_ledger::{AttemptFailure, AttemptLedger, NextStep};
+use crate::gateway::caller_connection::{BodyBuffer, BodyFault, CallerRequest};
 use crate::gateway::catalog::WorkKind;
 use crate::gateway::crash_ledger::CrashSeries;
 use crate::gateway::part_ledger::{PartVerdict, PromptPart, SuspectRun};
@@ -45,6 +46,9 @@
 const MAX_RESUME_WAIT_MS: u64 = 1_200;
 /// Number of permits denied to one request after which this gateway asks for none for a while.
 const MAX_DENIALS: u32 = 4;
+/// `Retry-After` of a request that is refused since there is no room for its body, milliseconds.
+/// Others that take the room are given up when more is needed.
+const NO_ROOM_RETRY_AFTER_MS: u64 = 500;
 /// Interval between two checks for free capacity, milliseconds.
 const CAPACITY_POLL_MS: u64 = 25;
 
@@ -69,6 +73,8 @@
     is_probe: AtomicBool,
     /// When the request line and headers were received.
     pub received_at: ClockTime,
+    /// The caller's connection, and what is held for the request there.
+    pub caller: CallerRequest,
     _in_flight: InFlightGuard,
 }
 
@@ -141,6 +147,7 @@
 pub async fn handle_request(
     gateway: &Arc<Gateway>,
     request: Request<Incoming>,
+    caller: CallerRequest,
 ) -> Response<GatewayBody> {
     let received_at = gateway.clock.now();
     let (parts, body) = request.into_parts();
@@ -159,29 +166,9 @@
         Err(refusal) => return refuse(gateway, &meta.id, received_at, &refusal),
     };
     let in_flight = InFlightGuard::begin(gateway);
-    let limit = gateway.state().routes.config().limits.body_bytes;
-    let body_read = Limited::new(body, limit).collect();
-    let remaining = Duration::from_millis(admitted.deadline.since(received_at));
-    let body = match tokio::time::timeout(remaining, body_read).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => {
-            let detail = format!("could not read the body: {error}");
-            let reason = match error.is::<LengthLimitError>() {
-                true => RefusalReason::TooLarge,
-                false => RefusalReason::BadRequest,
-            };
-            return refuse(
-                gateway,
-                &meta.id,
-                received_at,
-                &RequestRefusal::not_run(reason, detail),
-            );
-        }
-        Err(_) => {
-            let refusal =
-                RequestRefusal::not_run(RefusalReason::Deadline, "the body came too late");
-            return refuse(gateway, &meta.id, received_at, &refusal);
-        }
+    let body = match read_body(gateway, &admitted, body, &caller).await {
+        Ok(body) => body,
+        Err(refusal) => return refuse(gateway, &meta.id, received_at, &refusal),
     };
     let fingerprint = fingerprint(&admitted, &parts, &body);
     let shared_parts = meta.shared_parts.iter();
@@ -199,11 +186,75 @@
         meta,
         admitted,
         received_at,
+        caller,
         _in_flight: in_flight,
     };
     serve(gateway, context).await
 }
 
+/// Reads the body of an admitted request.
+///
+/// # Errors
+///
+/// The refusal, if the body is too large, broken off or late, or if there is no room for it.
+async fn read_body(
+    gateway: &Gateway,
+    admitted: &AdmittedRequest,
+    body: Incoming,
+    caller: &CallerRequest,
+) -> Result<Bytes, RequestRefusal> {
+    let max_bytes = gateway.state().routes.config().limits.body_bytes;
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(body_refusal(BodyFault::TooLarge));
+    }
+    let remaining = Duration::from_millis(admitted.deadline.since(gateway.clock.now()));
+    let read = tokio::select! {
+        biased;
+        () = caller.wait_for_eviction() => return Err(body_refusal(BodyFault::NoRoom)),
+        read = tokio::time::timeout(remaining, collect_body(body, caller, max_bytes)) => read,
+    };
+    let body = read.unwrap_or_else(|_| {
+        let detail = "the body came too late";
+        Err(RequestRefusal::not_run(RefusalReason::Deadline, detail))
+    })?;
+    match caller.begin_service() {
+        true => Ok(body),
+        false => Err(body_refusal(BodyFault::NoRoom)),
+    }
+}
+
+async fn collect_body(
+    mut body: Incoming,
+    caller: &CallerRequest,
+    max_bytes: usize,
+) -> Result<Bytes, RequestRefusal> {
+    let mut buffer = BodyBuffer::new(caller, max_bytes);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            let detail = format!("could not read the body: {error}");
+            RequestRefusal::not_run(RefusalReason::BadRequest, detail)
+        })?;
+        if let Some(data) = frame.data_ref() {
+            buffer.push(data).map_err(body_refusal)?;
+        }
+    }
+    Ok(buffer.into_bytes())
+}
+
+fn body_refusal(fault: BodyFault) -> RequestRefusal {
+    match fault {
+        BodyFault::TooLarge => {
+            let detail = "the body is larger than the limit";
+            RequestRefusal::not_run(RefusalReason::TooLarge, detail)
+        }
+        BodyFault::NoRoom => {
+            let detail = "there is no room for the body of the request";
+            let refusal = RequestRefusal::not_run(RefusalReason::Busy, detail);
+            refusal.retry_after(NO_ROOM_RETRY_AFTER_MS)
+        }
+    }
+}
+
 fn fingerprint(admitted: &AdmittedRequest, parts: &Parts, body: &Bytes) -> RequestFingerprint {
     let path = parts.uri.path_and_query();
     RequestFingerprint::of(&[
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -16,6 +16,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Mutex};
 
+use crate::gateway::caller_connection::CallerConnection;
+use crate::gateway::caller_ledger::CallerTimeouts;
+use crate::gateway::caller_stream::CallerStream;
 use crate::gateway::forward;
 use crate::gateway::run::{Gateway, ShutdownPhase};
 use crate::gateway::task::spawn_lasting;
@@ -23,6 +26,8 @@
 /// Smallest read buffer of a caller's connection, bytes. It holds the request line and headers, and
 /// hyper panics if it is too small.
 const MIN_HEADER_BUFFER_BYTES: usize = 16 * 1024;
+/// Interval at which connections are closed that have been idle for too long, milliseconds.
+const EXPIRY_INTERVAL_MS: u64 = 500;
 /// Time for which a connection that has not carried a request is kept open after new requests are
 /// refused, milliseconds: its first request may be on its way, and is answered with a refusal.
 pub const FIRST_REQUEST_MS: u64 = 500;
@@ -39,10 +44,25 @@
         .await
         .wrap_err_with(|| format!("could not listen for callers on {address}"))?;
     let listener = Arc::new(Mutex::new(Some(listener)));
+    let expiry_gateway = gateway.clone();
+    spawn_lasting("caller_expiry", move || expire(expiry_gateway.clone()));
     spawn_lasting("accept", move || accept(gateway.clone(), listener.clone()));
     Ok(())
 }
 
+/// Closes the connections that take longer than the configuration in force allows.
+async fn expire(gateway: Arc<Gateway>) {
+    let mut tick = tokio::time::interval(Duration::from_millis(EXPIRY_INTERVAL_MS));
+    loop {
+        tick.tick().await;
+        let limits = gateway.state().routes.config().limits;
+        gateway.callers.expire(CallerTimeouts {
+            header_ms: limits.header_timeout_ms,
+            idle_ms: limits.idle_timeout_ms,
+        });
+    }
+}
+
 /// Accepts connections until a graceful shutdown closes the listener, which makes new callers
 /// connect to another VM. Connections that wait in the listener's queue then are still accepted:
 /// closing it would reset them, and their requests may have arrived.
@@ -58,9 +78,7 @@
             () = wait_for_closing(&mut shutdown) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(serve(gateway.clone(), stream));
-            }
+            Ok((stream, _)) => admit_connection(&gateway, stream),
             Err(error) => {
                 spdlog::warn!("event=accept_failed error=\"{error}\"");
                 tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
@@ -81,31 +99,37 @@
             .set_nonblocking(true)
             .and_then(|()| TcpStream::from_std(stream));
         match accepted {
-            Ok(stream) => {
-                tokio::spawn(serve(gateway.clone(), stream));
-            }
+            Ok(stream) => admit_connection(gateway, stream),
             Err(error) => spdlog::warn!("event=accept_failed error=\"{error}\""),
         }
     }
 }
 
-async fn serve(gateway: Arc<Gateway>, stream: TcpStream) {
-    if let Err(error) = stream.set_nodelay(true) {
+/// Serves a connection if there is room for it, else closes it.
+fn admit_connection(gateway: &Arc<Gateway>, stream: TcpStream) {
+    let limits = gateway.state().routes.config().limits;
+    if let Some(connection) = gateway.callers.open(limits) {
+        let stream = CallerStream::new(stream, connection.clone());
+        tokio::spawn(serve(gateway.clone(), stream, connection));
+    }
+}
+
+async fn serve(gateway: Arc<Gateway>, stream: CallerStream, caller: CallerConnection) {
+    if let Err(error) = stream.set_nodelay() {
         spdlog::debug!("event=caller_disconnected error=\"{error}\"");
         return;
     }
     let limits = gateway.state().routes.config().limits;
-    // Hyper's header read timeout also covers the idle time before the next request, so the longer
-    // of the two limits applies to both.
-    let idle_ms = limits.idle_timeout_ms.max(limits.header_timeout_ms);
     let mut shutdown = gateway.shutdown.subscribe();
     let began = Arc::new(AtomicBool::new(false));
     let requested = began.clone();
+    let requester = caller.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = gateway.clone();
+        let caller_request = requester.begin_request();
         requested.store(true, Ordering::Relaxed);
         async move {
-            let mut response = forward::handle_request(&gateway, request).await;
+            let mut response = forward::handle_request(&gateway, request, caller_request).await;
             if gateway.closes_connections() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
@@ -115,12 +139,13 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(idle_ms))
+        .header_read_timeout(None)
         .max_buf_size(limits.header_bytes.max(MIN_HEADER_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
+        () = caller.wait_for_eviction() => return,
         () = wait_for_closing(&mut shutdown) => {
             let mut ended = None;
             if !began.load(Ordering::Relaxed) {
@@ -131,7 +156,10 @@
                 Some(result) => result,
                 None => {
                     connection.as_mut().graceful_shutdown();
-                    connection.await
+                    tokio::select! {
+                        result = connection => result,
+                        () = caller.wait_for_eviction() => return,
+                    }
                 }
             }
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,9 @@
 pub mod abandoned;
 pub mod attempt_ledger;
 pub mod budget;
+pub mod caller_connection;
+pub mod caller_ledger;
+pub mod caller_stream;
 pub mod catalog;
 pub mod chain;
 pub mod crash_ledger;
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -37,7 +37,7 @@
     } = opened;
     let (head, body) = response.into_parts();
     let remaining = Duration::from_millis(context.admitted.deadline.since(gateway.clock.now()));
-    let read = read_body(body, ResponseBuffer::new(&gateway.buffered_bytes));
+    let read = read_body(body, ResponseBuffer::new(context.caller.connection()));
     let buffer = match tokio::time::timeout(remaining, read).await {
         Ok(Ok(buffer)) => buffer,
         result => {
--- a/src/gateway/response_buffer.rs
+++ b/src/gateway/response_buffer.rs
@@ -1,87 +1,69 @@
 //! Buffers of responses that are held until they are complete.
 
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Frame, SizeHint};
 
+use crate::gateway::caller_connection::{AnswerRoom, CallerConnection};
+
 /// Largest response body that is buffered, bytes.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
-/// Part of each response that does not count towards the limit of all, bytes, so that large
-/// responses do not keep out small ones.
-const SMALL_RESPONSE_BYTES: usize = 64 * 1024;
-/// Upper bound of what all responses together buffer beyond that part of each, bytes.
-const MAX_BUFFERED_BYTES: usize = 32 * 1024 * 1024;
-
-/// Bytes that the responses of a gateway buffer, beyond the part of each that does not count.
-#[derive(Clone, Debug, Default)]
-pub struct BufferedBytes(Arc<AtomicUsize>);
-
 /// The body of one response, which grows until it is complete.
 #[derive(Debug)]
 pub struct ResponseBuffer {
     data: BytesMut,
-    counted: CountedBytes,
-}
-
-/// Bytes of one response that count, until it is dropped.
-#[derive(Debug)]
-struct CountedBytes {
-    all: BufferedBytes,
-    own: usize,
-}
-
-impl Drop for CountedBytes {
-    fn drop(&mut self) {
-        self.all.0.fetch_sub(self.own, Ordering::Relaxed);
-    }
+    room: AnswerRoom,
 }
 
 impl ResponseBuffer {
-    /// Creates an empty buffer that counts towards `all`.
-    pub fn new(all: &BufferedBytes) -> ResponseBuffer {
-        let all = all.clone();
+    /// Creates an empty buffer of the answer to a caller.
+    pub fn new(connection: &CallerConnection) -> ResponseBuffer {
         ResponseBuffer {
             data: BytesMut::new(),
-            counted: CountedBytes { all, own: 0 },
+            room: AnswerRoom::new(connection),
         }
     }
 
-    /// Appends bytes. Returns false if the response, or all responses together, would be too large.
+    /// Appends bytes. Returns false if the response would be too large, or there is no room for it.
     pub fn push(&mut self, bytes: &[u8]) -> bool {
         let len = self.data.len() + bytes.len();
-        let counted = len.saturating_sub(SMALL_RESPONSE_BYTES);
-        let added = counted - self.counted.own;
-        let all = &self.counted.all.0;
-        let is_full = all.load(Ordering::Relaxed) + added > MAX_BUFFERED_BYTES;
-        if len > MAX_RESPONSE_BYTES || (added > 0 && is_full) {
+        if len > MAX_RESPONSE_BYTES || !self.room.grow(bytes.len()) {
             return false;
         }
-        all.fetch_add(added, Ordering::Relaxed);
-        self.counted.own = counted;
         self.data.extend_from_slice(bytes);
         true
     }
 
     /// Returns the body for the caller.
     pub fn into_body(self) -> BufferedBody {
-        BufferedBody {
-            data: Some(self.data.freeze()).filter(|data| !data.is_empty()),
-            _counted: self.counted,
-        }
+        let is_empty = self.data.is_empty();
+        let data = HeldAnswer {
+            data: self.data,
+            _room: self.room,
+        };
+        BufferedBody((!is_empty).then(|| Bytes::from_owner(data)))
     }
 }
 
-/// A complete response body. It counts as buffered until it is dropped.
+/// The bytes of an answer, which take room until they are written.
 #[derive(Debug)]
-pub struct BufferedBody {
-    data: Option<Bytes>,
-    _counted: CountedBytes,
+struct HeldAnswer {
+    data: BytesMut,
+    _room: AnswerRoom,
+}
+
+impl AsRef<[u8]> for HeldAnswer {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
 }
 
+/// A complete response body. Its bytes take room until they are written.
+#[derive(Debug)]
+pub struct BufferedBody(Option<Bytes>);
+
 impl Body for BufferedBody {
     type Data = Bytes;
     type Error = std::io::Error;
@@ -90,15 +72,15 @@
         mut self: Pin<&mut Self>,
         _context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
-        Poll::Ready(self.data.take().map(|data| Ok(Frame::data(data))))
+        Poll::Ready(self.0.take().map(|data| Ok(Frame::data(data))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.data.is_none()
+        self.0.is_none()
     }
 
     fn size_hint(&self) -> SizeHint {
-        let len = self.data.as_ref().map_or(0, Bytes::len);
+        let len = self.0.as_ref().map_or(0, Bytes::len);
         SizeHint::with_exact(len as u64)
     }
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -16,9 +16,9 @@
 use crate::clock::{BootClock, ClockTime};
 use crate::config::GatewayConfig;
 use crate::fetch::{self, HttpClient};
+use crate::gateway::caller_connection::CallerTable;
 use crate::gateway::permit::PermitAsks;
 use crate::gateway::pool::ConnectionPool;
-use crate::gateway::response_buffer::BufferedBytes;
 use crate::gateway::state::{GatewaySetup, GatewayState};
 use crate::gateway::upstream::UpstreamKey;
 use crate::gateway::{listener, peer_exchange, placement_runner, sync};
@@ -72,8 +72,8 @@
     pub clock: BootClock,
     /// Idle connections to upstreams, kept for reuse.
     pub pool: ConnectionPool,
-    /// Bytes of responses that are held until they are complete.
-    pub buffered_bytes: BufferedBytes,
+    /// The open connections of callers, and what is held for them.
+    pub callers: CallerTable,
     /// HTTP client for report queries and orders to replicas.
     pub client: HttpClient,
     /// HTTP client for queries whose answers must be of now, and not left from an earlier exchange.
@@ -138,15 +138,16 @@
         rng_seed: rand::random(),
     });
     let store = KvStore::new(config.platform_address.to_string());
+    let metrics = MetricSet::new()?;
     let (shutdown, _) = watch::channel(ShutdownPhase::Serving);
     let gateway = Arc::new(Gateway {
         state: Mutex::new(state),
         clock: BootClock,
         pool: ConnectionPool::default(),
-        buffered_bytes: BufferedBytes::default(),
+        callers: CallerTable::new(config.caller_room, metrics.clone()),
         client: fetch::client(),
         unpooled_client: fetch::unpooled_client(),
-        metrics: MetricSet::new()?,
+        metrics,
         peer_update: Notify::new(),
         permit_asks: PermitAsks::default(),
         notice_update: Notify::new(),
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -23,6 +23,13 @@
     pub limited_upstreams: IntGauge,
     /// Number of permits that requests to such upstreams needed, by how they were had.
     pub permits: IntCounterVec,
+    /// Bytes held for the connections, requests and answers of a gateway's callers.
+    pub caller_bytes: IntGauge,
+    /// Open connections of a gateway's callers.
+    pub caller_connections: IntGauge,
+    /// Number of callers' connections that were given up, or not accepted, for want of room, by what
+    /// they were doing.
+    pub caller_evictions: IntCounterVec,
     /// Number of messages sent to other processes.
     pub messages_sent: IntCounter,
     /// Number of requests of an agent to the platform's key-value store; entries and gateways do
@@ -78,6 +85,21 @@
             ),
             &["result"],
         )?;
+        let caller_bytes = IntGauge::new(
+            "lynxcart_caller_bytes",
+            "Bytes held for callers' connections, requests and answers.",
+        )?;
+        let caller_connections = IntGauge::new(
+            "lynxcart_caller_connections",
+            "Open connections of callers.",
+        )?;
+        let caller_evictions = IntCounterVec::new(
+            Opts::new(
+                "lynxcart_caller_evictions_total",
+                "Callers' connections given up for want of room, by what they were doing.",
+            ),
+            &["phase"],
+        )?;
         let messages_sent = IntCounter::new(
             "lynxcart_mail_sent_total",
             "Messages sent to other processes.",
@@ -106,6 +128,9 @@
         registry.register(Box::new(crashes_under_requests.clone()))?;
         registry.register(Box::new(limited_upstreams.clone()))?;
         registry.register(Box::new(permits.clone()))?;
+        registry.register(Box::new(caller_bytes.clone()))?;
+        registry.register(Box::new(caller_connections.clone()))?;
+        registry.register(Box::new(caller_evictions.clone()))?;
         registry.register(Box::new(messages_sent.clone()))?;
         registry.register(Box::new(platform_requests.clone()))?;
         registry.register(Box::new(config_revision.clone()))?;
@@ -117,6 +142,9 @@
             crashes_under_requests,
             limited_upstreams,
             permits,
+            caller_bytes,
+            caller_connections,
+            caller_evictions,
             messages_sent,
             platform_requests,
             config_revision,
@@ -130,6 +158,12 @@
         self.permits.with_label_values(&[result]).inc();
     }
 
+    /// Counts a connection that was given up for want of room: `idle`, `head`, `body`, or
+    /// `not_accepted`.
+    pub fn count_caller_eviction(&self, phase: &str) {
+        self.caller_evictions.with_label_values(&[phase]).inc();
+    }
+
     /// Returns the current values in the Prometheus text format.
     pub fn prometheus_text(&self) -> String {
         let mut buffer = Vec::new();
--- a/src/process.rs
+++ b/src/process.rs
@@ -246,3 +246,30 @@
     });
     router.get("/v1/timeline").to_new_handler(timeline);
 }
+
+/// Memory of the machine as the system reports it, megabytes.
+pub fn system_memory_mb() -> u64 {
+    // SAFETY: Both calls take a constant and return a number.
+    let (pages, page_bytes) = unsafe {
+        (
+            libc::sysconf(libc::_SC_PHYS_PAGES),
+            libc::sysconf(libc::_SC_PAGE_SIZE),
+        )
+    };
+    let bytes = u64::try_from(pages).unwrap_or(0) * u64::try_from(page_bytes).unwrap_or(0);
+    bytes / 1_000_000
+}
+
+/// Number of descriptors that the process may have open.
+pub fn descriptor_limit() -> u64 {
+    let mut limit = libc::rlimit {
+        rlim_cur: 0,
+        rlim_max: 0,
+    };
+    // SAFETY: `limit` is valid for writes of an rlimit for the duration of the call.
+    let result = unsafe { libc::getrlimit(libc::RLIMIT_NOFILE, &mut limit) };
+    match result {
+        0 => limit.rlim_cur,
+        _ => 0,
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod adapter;
 mod attempt_ledger;
 mod budget;
+mod caller_ledger;
 mod catalog;
 mod chain;
 mod config;
