Apply the limit on heads of the configuration in force to kept connections

Cause: the read buffer of a connection was set to max_header_bytes when it opened, and hyper refused what is larger for as long as it lasted.

Change: connections have a buffer of 256 KiB, or of the limit where that is larger, and each complete head is measured against the limit in force.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -161,6 +161,12 @@
             &refusal.retry_after(SHUTDOWN_RETRY_AFTER_MS),
         );
     }
+    // The limit is that of the configuration in force, also on connections that are older.
+    if head_bytes(&parts) > gateway.state().routes.config().limits.header_bytes {
+        let detail = "the request line and headers are larger than the limit";
+        let refusal = RequestRefusal::not_run(RefusalReason::HeadersTooLarge, detail);
+        return refuse(gateway, &meta.id, received_at, &refusal);
+    }
     let admitted = match admit(gateway, received_at, &parts, &meta) {
         Ok(admitted) => admitted,
         Err(refusal) => return refuse(gateway, &meta.id, received_at, &refusal),
@@ -192,6 +198,19 @@
     serve(gateway, context).await
 }
 
+/// Size of a request's head, bytes, as a caller writes it.
+fn head_bytes(parts: &Parts) -> usize {
+    /// The spaces, the version and the line end of a request line, and the line end of the head.
+    const REQUEST_LINE_EXTRA: usize = " ".len() + " HTTP/1.1\r\n".len() + "\r\n".len();
+    const HEADER_EXTRA: usize = ": ".len() + "\r\n".len();
+    let headers = parts.headers.iter();
+    let header_bytes: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len() + HEADER_EXTRA)
+        .sum();
+    let target = parts.uri.path_and_query().map_or("", |path| path.as_str());
+    parts.method.as_str().len() + target.len() + REQUEST_LINE_EXTRA + header_bytes
+}
+
 /// Reads the body of an admitted request.
 ///
 /// # Errors
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -23,9 +23,9 @@
 use crate::gateway::run::{Gateway, ShutdownPhase};
 use crate::gateway::task::spawn_lasting;
 
-/// Smallest read buffer of a caller's connection, bytes. It holds the request line and headers, and
-/// hyper panics if it is too small.
-const MIN_HEADER_BUFFER_BYTES: usize = 16 * 1024;
+/// Read buffer of a caller's connection, bytes, unless heads may be larger when it opens. It bounds
+/// what the connection can take of the request line and headers for as long as it lasts.
+const HEADER_BUFFER_BYTES: usize = 256 * 1024;
 /// Interval at which connections are closed that have been idle for too long, milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 500;
 /// Time for which a connection that has not carried a request is kept open after new requests are
@@ -120,6 +120,7 @@
         return;
     }
     let limits = gateway.state().routes.config().limits;
+    let buffer_bytes = limits.header_bytes.max(HEADER_BUFFER_BYTES);
     let mut shutdown = gateway.shutdown.subscribe();
     let began = Arc::new(AtomicBool::new(false));
     let requested = began.clone();
@@ -130,7 +131,8 @@
         requested.store(true, Ordering::Relaxed);
         async move {
             let mut response = forward::handle_request(&gateway, request, caller_request).await;
-            if gateway.closes_connections() {
+            let max_header_bytes = gateway.state().routes.config().limits.header_bytes;
+            if gateway.closes_connections() || max_header_bytes > buffer_bytes {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -140,7 +142,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
-        .max_buf_size(limits.header_bytes.max(MIN_HEADER_BUFFER_BYTES))
+        .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let result = tokio::select! {
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -51,6 +51,8 @@
     UnknownProfile,
     /// The request body is larger than the limit.
     TooLarge,
+    /// The request line and headers are larger than the limit.
+    HeadersTooLarge,
     /// The process is shutting down.
     Draining,
     /// A queue is full or a concurrency limit is reached.
@@ -93,6 +95,7 @@
             RefusalReason::BadToken => 401,
             RefusalReason::UnknownProfile | RefusalReason::NotFound => 404,
             RefusalReason::TooLarge => 413,
+            RefusalReason::HeadersTooLarge => 431,
             RefusalReason::KeyReused | RefusalReason::Quarantined => 422,
             RefusalReason::TeamLimit => 429,
             RefusalReason::Deadline => 504,
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -50,6 +50,8 @@
     client: HttpClient,
     config_version: u64,
     api_keys: Vec<String>,
+    /// Limits on callers in the configuration; null for the gateways' defaults.
+    limits: Value,
     log_dir: PathBuf,
     /// Environment variables of the gateways.
     settings: Vec<(&'static str, String)>,
@@ -146,7 +148,7 @@
 }
 
 /// Builds a configuration document with one route of each kind.
-fn config_document(version: u64, api_keys: &[String]) -> Value {
+fn config_document(version: u64, api_keys: &[String], limits: &Value) -> Value {
     let route = |prefix: &str, kind: &str, service: &str, max_attempts: u64| {
         json!({
             "name": prefix, "host": "site.example", "prefix": prefix, "kind": kind,
@@ -155,7 +157,7 @@
             "gap_target_ms": 250,
         })
     };
-    json!({
+    let mut document = json!({
         "version": version,
         "routes": [
             route("/model/", "streaming", "model", 2),
@@ -174,7 +176,11 @@
             {"name": "plain", "health_path": "/healthz", "max_connections": 100},
         ],
         "tenants": [{"name": "mill", "api_keys": api_keys}],
-    })
+    });
+    if !limits.is_null() {
+        document["limits"] = limits.clone();
+    }
+    document
 }
 
 impl TestSite {
@@ -214,11 +220,14 @@
             client: fetch::unpooled_client(),
             config_version: 1,
             api_keys: vec![API_KEY.to_owned()],
+            limits: Value::Null,
             log_dir,
             settings: settings.to_vec(),
         };
-        site.store
-            .put("op/config", &config_document(1, &site.api_keys));
+        site.store.put(
+            "op/config",
+            &config_document(1, &site.api_keys, &site.limits),
+        );
         for number in 0..6 {
             let domain = if number < 3 { "a" } else { "b" };
             let address = site.add_replica("model", domain, number).await?;
@@ -357,6 +366,12 @@
         self.publish_config();
     }
 
+    /// Publishes a newer configuration with these limits on callers.
+    pub fn set_limits(&mut self, limits: Value) {
+        self.limits = limits;
+        self.publish_config();
+    }
+
     /// Publishes the current configuration again, with its version raised by 2.
     pub fn publish_config(&mut self) {
         self.config_version += 2;
@@ -365,7 +380,7 @@
 
     /// Writes the newest configuration again, as the operator does after a restore of the store.
     pub fn rewrite_config(&self) {
-        let document = config_document(self.config_version, &self.api_keys);
+        let document = config_document(self.config_version, &self.api_keys, &self.limits);
         self.store.put("op/config", &document);
     }
 
