Wait in a planned stop until answers are written

Cause: a request counted as in flight until its handler returned the answer.

Change: a connection with bytes that could not be written counts as in flight, until hyper flushes: it does so when all is written.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -107,6 +107,12 @@
         *self.shutdown.borrow() == ShutdownPhase::Closing
     }
 
+    /// Number of requests that are being served, or whose answers are not written completely.
+    fn in_flight(&self) -> usize {
+        let served = usize::try_from(self.metrics.in_flight.get()).unwrap_or(0);
+        served + self.callers.unwritten()
+    }
+
     /// Whether responses close their connection, so that callers move to another VM: during a
     /// shutdown, or while the configuration may be outdated.
     pub fn closes_connections(&self) -> bool {
@@ -169,10 +175,7 @@
     let placement = sync::start(gateway.clone(), store);
     tokio::spawn(log_domains(gateway.clone()));
     let _ = signal_count.wait_for(|count| *count > 0).await;
-    spdlog::info!(
-        "event=shutdown_requested in_flight={}",
-        gateway.metrics.in_flight.get()
-    );
+    spdlog::info!("event=shutdown_requested in_flight={}", gateway.in_flight());
     gateway.state().draining = true;
     gateway.shutdown.send_replace(ShutdownPhase::Leaving);
     let drain_started_at = gateway.clock.now();
@@ -187,7 +190,7 @@
         if elapsed_ms >= BALANCER_NOTICE_MS.min(limit) {
             gateway.shutdown.send_replace(ShutdownPhase::Closing);
         }
-        let in_flight = gateway.metrics.in_flight.get();
+        let in_flight = gateway.in_flight();
         if in_flight == 0 && elapsed_ms >= BALANCER_NOTICE_MS + LAST_REQUESTS_MS {
             spdlog::info!("event=stopped code=0");
             return Ok(0);
--- a/standins/tests/callers.rs
+++ b/standins/tests/callers.rs
@@ -1,4 +1,4 @@
-//! What holds for callers while the configuration changes.
+//! What holds for callers while a gateway stops or the configuration changes.
 
 use std::path::PathBuf;
 use std::time::Duration;
@@ -6,7 +6,7 @@
 use serde_json::json;
 use standins::site::{SiteRequest, TestSite, API_KEY};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// Time within which a configuration is in force, in milliseconds.
 const CONFIG_MS: u64 = 2_000;
@@ -55,6 +55,48 @@
     (status.unwrap_or(0), read, body_len)
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_is_still_being_written_is_whole_after_a_planned_stop() {
+    /// Larger than what the kernel buffers for a connection.
+    const ANSWER_BYTES: usize = 7 * 1024 * 1024;
+    /// Size of the callers' receive buffers.
+    const RECEIVE_BYTES: u32 = 32 * 1024;
+    let mut site = start_site("stop-while-writing").await;
+    site.set_limits(json!({"max_body_bytes": ANSWER_BYTES}));
+    tokio::time::sleep(Duration::from_millis(CONFIG_MS)).await;
+    let address = site.gateways[0].process.http_address;
+    let mut callers = Vec::new();
+    for number in 0..2 {
+        let socket = TcpSocket::new_v4().expect("a socket should open");
+        socket
+            .set_recv_buffer_size(RECEIVE_BYTES)
+            .expect("the buffer should be set");
+        let mut stream = socket.connect(address).await.expect("the gateway listens");
+        let id = format!("w{number}");
+        let request = lookup(&id, "", &"x".repeat(ANSWER_BYTES));
+        let sent = stream.write_all(request.as_bytes()).await;
+        sent.expect("the gateway should read the request");
+        while site.run_count(&id) == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        callers.push(stream);
+    }
+    // The replica has answered.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    site.gateways[0].process.signal("TERM").expect("a signal");
+    // Past the time that a stop leaves to new connections, within its bound of eight seconds.
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    for (number, stream) in callers.iter_mut().enumerate() {
+        let (status, read, length) = read_response(stream).await;
+        assert_eq!((status, length), (200, ANSWER_BYTES), "caller {number}");
+        assert_eq!(read, length, "caller {number}: the answer is cut");
+    }
+    let code = site.gateways[0]
+        .process
+        .wait_for_exit(Duration::from_secs(10));
+    assert_eq!(code.expect("the gateway should exit"), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn limit_on_heads_holds_on_kept_connections_as_the_newest_configuration_says() {
     struct LimitCase {
