--- a/standins/src/kv.rs
+++ b/standins/src/kv.rs
@@ -37,6 +37,8 @@
     /// Time to live and time of expiry, by lease id.
     leases: HashMap<i64, (Duration, Instant)>,
     next_lease: i64,
+    /// Number of watches answered, by prefix.
+    answered_watches: HashMap<String, u64>,
     outage: bool,
 }
 
@@ -265,6 +267,12 @@
         }))
     }
 
+    /// Number of watches on keys with a prefix that were answered.
+    pub fn answered_watches(&self, prefix: &str) -> u64 {
+        let data = self.data();
+        data.answered_watches.get(prefix).copied().unwrap_or(0)
+    }
+
     async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> ServerResponse {
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
         let era = self.data().era;
@@ -293,6 +301,8 @@
             }
             let remaining = deadline.saturating_duration_since(Instant::now());
             if !events.is_empty() || remaining.is_zero() {
+                let answered = &mut self.data().answered_watches;
+                *answered.entry(prefix.to_owned()).or_default() += 1;
                 return json_response(&json!({"events": events, "store_revision": revision}));
             }
             // Whether the wait timed out or data changed is checked at the start of the loop.
--- a/standins/tests/silent.rs
+++ b/standins/tests/silent.rs
@@ -10,6 +10,9 @@
 /// Time after which a replica whose entry was removed gets no request, in milliseconds.
 const LEAVE_MS: u64 = 2_000;
 
+/// Time for which a gateway that has started asks the store more often, in milliseconds.
+const STARTUP_MS: u64 = 8_500;
+
 #[tokio::test(flavor = "multi_thread")]
 async fn replica_that_leaves_behind_silent_connections_to_the_store_gets_no_request() {
     let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("silent-store");
@@ -38,3 +41,25 @@
         assert_eq!(arrivals, 0, "gateway {gateway}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_replica_whose_report_is_behind_silent_connections_gets_no_request() {
+    let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("silent-report");
+    let site = TestSite::start(logs, 1)
+        .await
+        .expect("the site should start");
+    tokio::time::sleep(Duration::from_millis(STARTUP_MS)).await;
+    let leaving = site.plain_addresses[0];
+    let id = site.replicas.state(leaving).id;
+    // The report comes right after a watch, and is read with the next one at the earliest.
+    let answered = site.store.answered_watches("servers/");
+    while site.store.answered_watches("servers/") == answered {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    site.replicas.change(leaving, |state| state.dead = true);
+    site.store.remove(&format!("servers/{id}"));
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    site.store_network.silence_open_connections();
+    tokio::time::sleep(Duration::from_millis(CONTACT_MS)).await;
+    assert_eq!(site.count_arrivals(0, leaving).await, 0);
+}
