Ask the store on another connection when a watch is overdue

Cause: registry watches that do not wait ask the store more often in calm: entries change with more than a heartbeat only, so that a watch does wait.

Change: the wait is back, and a watch whose answer is 0.4 s overdue is sent once more on a new connection without a wait. The first answer of the two counts. That holds for all watches.

--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -32,9 +32,11 @@
 /// Longest wait of one watch on the gateways, the notices or the placement lease, milliseconds. A
 /// connection that has gone silent is noticed only after it.
 pub(super) const IDLE_WATCH_MS: u64 = 5_000;
-/// Pause between two registry watches, as a fraction of `leave_bound_ms`, the time after which a
-/// draining upstream must get no new requests. The watches do not wait: heartbeats change the
-/// registry all the time, and a wait would only delay the notice of a connection that went silent.
+/// Upper bound of the wait of one registry watch, milliseconds. The store allows 30 s.
+const MAX_REGISTRY_WATCH_MS: u64 = 20_000;
+/// Pause between two registry watches, and longest wait of one, as a fraction of `leave_bound_ms`, the
+/// time after which a draining upstream must get no new requests. Without a pause each watch would
+/// return at once while heartbeats change the registry.
 const REGISTRY_PAUSE_FRACTION: f64 = 0.45;
 /// Pause between two watches on the addresses of the gateways, milliseconds.
 pub(super) const DISCOVERY_PAUSE_MS: u64 = 900;
@@ -310,7 +312,7 @@
     loop {
         let result = match after {
             None => read_registry(&gateway, &store, &status).await,
-            Some(after) => watch_registry(&gateway, &store, &mut status, after).await,
+            Some(after) => watch_registry(&gateway, &store, &mut status, after, pause_ms).await,
         };
         let now = gateway.clock.now();
         match result {
@@ -384,8 +386,10 @@
     store: &KvStore,
     status: &mut StoreStatus,
     after: StorePosition,
+    wait_ms: u64,
 ) -> Result<Option<StorePosition>, String> {
-    match store.watch(REGISTRY_PREFIX, after, 0).await {
+    let wait_ms = wait_ms.min(MAX_REGISTRY_WATCH_MS);
+    match store.watch(REGISTRY_PREFIX, after, wait_ms).await {
         Ok(WatchOutcome::Changes(changes, position)) => {
             let now = gateway.clock.now();
             let era = position.era;
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -24,6 +24,10 @@
 /// Timeout of one request, milliseconds.
 const REQUEST_TIMEOUT_MS: u64 = 1_200;
 
+/// Time after which an answer to a watch is overdue, counted from the end of its wait, milliseconds.
+/// Its connection may have gone silent, so that the store is asked on another one as well.
+const WATCH_OVERDUE_MS: u64 = 400;
+
 /// Characters of a key that a query cannot contain as they are.
 const KEY_ESCAPES: &AsciiSet = &CONTROLS
     .add(b' ')
@@ -166,9 +170,22 @@
         request: eyre::Result<Request<Full<Bytes>>>,
         timeout_ms: u64,
     ) -> Result<(u16, Bytes, u64), PlatformError> {
-        let request = request.map_err(|error| PlatformError(error.to_string()))?;
         let (client, number) = self.pool.client();
-        let response = send_whole(&client, request);
+        self.send_with(&client, Some(number), request, timeout_ms)
+            .await
+    }
+
+    /// Sends a request on a connection of a client. `number` is that of its pool, which is replaced
+    /// after a timeout.
+    async fn send_with(
+        &self,
+        client: &HttpClient,
+        number: Option<u64>,
+        request: eyre::Result<Request<Full<Bytes>>>,
+        timeout_ms: u64,
+    ) -> Result<(u16, Bytes, u64), PlatformError> {
+        let request = request.map_err(|error| PlatformError(error.to_string()))?;
+        let response = send_whole(client, request);
         match tokio::time::timeout(Duration::from_millis(timeout_ms), response).await {
             Ok(Ok(response)) => {
                 let status = response.status().as_u16();
@@ -182,7 +199,9 @@
             }
             Ok(Err(error)) => Err(PlatformError(error.to_string())),
             Err(_) => {
-                self.pool.replace(number);
+                if let Some(number) = number {
+                    self.pool.replace(number);
+                }
                 let text = format!("no response within {timeout_ms} ms");
                 Err(PlatformError(text))
             }
@@ -284,14 +303,8 @@
         after: StorePosition,
         wait_ms: u64,
     ) -> Result<WatchOutcome, PlatformError> {
-        let query = format!(
-            "/api/kv-watch?prefix={prefix}&after={}&wait_ms={wait_ms}",
-            after.revision
-        );
-        match self
-            .send_request(self.get(&query), REQUEST_TIMEOUT_MS + wait_ms)
-            .await?
-        {
+        let (status, body, era) = self.send_watch(prefix, after, wait_ms).await?;
+        match (status, body, era) {
             (_, _, era) if era != after.era => Ok(WatchOutcome::Restored),
             (200, body, era) => {
                 let response: RawWatch = decode(&body)?;
@@ -305,6 +318,47 @@
         }
     }
 
+    /// Sends a watch. If its answer is overdue, sends another one on a new connection that does not
+    /// wait, and returns the first answer of the two.
+    async fn send_watch(
+        &self,
+        prefix: &str,
+        after: StorePosition,
+        wait_ms: u64,
+    ) -> Result<(u16, Bytes, u64), PlatformError> {
+        let revision = after.revision;
+        let query = |wait_ms: u64| {
+            let path = "/api/kv-watch";
+            self.get(&format!(
+                "{path}?prefix={prefix}&after={revision}&wait_ms={wait_ms}"
+            ))
+        };
+        let (client, number) = self.pool.client();
+        let first = self.send_with(
+            &client,
+            Some(number),
+            query(wait_ms),
+            REQUEST_TIMEOUT_MS + wait_ms,
+        );
+        let mut first = std::pin::pin!(first);
+        let overdue = Duration::from_millis(wait_ms + WATCH_OVERDUE_MS);
+        if let Ok(answer) = tokio::time::timeout(overdue, first.as_mut()).await {
+            return answer;
+        }
+        let another = crate::fetch::client();
+        let second = self.send_with(&another, None, query(0), REQUEST_TIMEOUT_MS);
+        tokio::select! {
+            answer = first.as_mut() => answer,
+            answer = second => match answer {
+                Ok(answer) => {
+                    self.pool.replace(number);
+                    Ok(answer)
+                }
+                Err(_) => first.await,
+            },
+        }
+    }
+
     /// Applies the writes if every condition holds. Otherwise returns the existing keys among those
     /// that the conditions name.
     async fn txn(
