Let few waiting requests look for room, and refuse what comes too late

Cause: each request that found no room chose a chain every 25 ms.

Change: WaitQueue lets three requests of a service look, interrupted streams first, then by priority and arrival. OwnDelay measures how late the thread is; what cannot be sent in half of its latency target is refused at once. Before each choice and each send the caller's socket is asked whether it has left.

--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -3,6 +3,8 @@
 //! Each connection is served by one task. A connection that is given up is told through a channel: if
 //! its body is being read, the request is refused; otherwise the connection is closed.
 
+use std::io;
+use std::os::fd::RawFd;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
@@ -51,8 +53,8 @@
         self.0.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records a new connection. Returns `None` if there is no room for it.
-    pub fn open(&self, limits: CallerLimits) -> Option<CallerConnection> {
+    /// Records a new connection on a socket. Returns `None` if there is no room for it.
+    pub fn open(&self, socket: RawFd, limits: CallerLimits) -> Option<CallerConnection> {
         let now = BootClock.now();
         let mut inner = self.lock();
         inner
@@ -73,6 +75,7 @@
         Some(CallerConnection {
             table: self.clone(),
             key,
+            socket,
             evicted,
         })
     }
@@ -131,6 +134,7 @@
 pub struct CallerConnection {
     table: CallerTable,
     key: CallerKey,
+    socket: RawFd,
     evicted: watch::Receiver<Option<CallerPhase>>,
 }
 
@@ -155,6 +159,27 @@
         CallerRequest(self.clone())
     }
 
+    /// Whether the caller has closed the connection. The event loop learns of that later when it is
+    /// behind its work.
+    pub fn has_left(&self) -> bool {
+        let mut byte = 0_u8;
+        // SAFETY: `byte` is valid for writes of one byte for the duration of the call, which does not
+        // wait. The socket is open while its requests are served.
+        let received = unsafe {
+            libc::recv(
+                self.socket,
+                std::ptr::from_mut(&mut byte).cast(),
+                1,
+                libc::MSG_PEEK | libc::MSG_DONTWAIT,
+            )
+        };
+        match received {
+            0 => true,
+            -1 => io::Error::last_os_error().kind() == io::ErrorKind::ConnectionReset,
+            _ => false,
+        }
+    }
+
     /// Records that the connection is closed.
     pub fn close(&self) {
         let mut inner = self.table.lock();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -29,6 +29,8 @@
 use crate::gateway::state::{AdmittedRequest, GatewayState, RequestHead, SendTarget};
 use crate::gateway::upstream::UpstreamKey;
 use crate::gateway::upstream_attempt::{send_request, FailedAttempt, OpenResponse, SendOptions};
+use crate::gateway::wait_queue::WaitRank;
+use crate::gateway::waiting::WaitingRequest;
 use crate::platform::headers::{request_meta, RequestMeta};
 use crate::verdict::{RefusalReason, RequestRefusal, RunVerdict};
 
@@ -49,8 +51,6 @@
 /// `Retry-After` of a request that is refused since there is no room for its body, milliseconds.
 /// Others that take the room are given up when more is needed.
 const NO_ROOM_RETRY_AFTER_MS: u64 = 500;
-/// Interval between two checks for free capacity, milliseconds.
-const CAPACITY_POLL_MS: u64 = 25;
 
 /// A caller's request while it is being served.
 #[derive(Debug)]
@@ -305,7 +305,10 @@
         max_answer_tokens: meta.max_answer_tokens,
         answer_hint: meta.answer_hint,
     };
-    gateway.state().admit(now, &head)
+    let mut state = gateway.state();
+    let admitted = state.admit(now, &head)?;
+    state.check_own_delay(&admitted)?;
+    Ok(admitted)
 }
 
 async fn serve(gateway: &Arc<Gateway>, context: RequestContext) -> Response<GatewayBody> {
@@ -407,7 +410,12 @@
         None => context.received_at + max_wait_ms as u64,
     };
     let last_event_id = resume.and_then(|resume| resume.last_event_id);
-    let target = wait_for_target(gateway, context, ledger, avoid, wait_until).await?;
+    let rank = WaitRank {
+        is_new: last_event_id.is_none(),
+        priority: context.admitted.priority,
+        received_at: context.received_at,
+    };
+    let target = wait_for_target(gateway, context, ledger, avoid, (rank, wait_until)).await?;
     ledger.record_attempt();
     let options = SendOptions {
         last_event_id,
@@ -424,9 +432,16 @@
     context: &RequestContext,
     ledger: &AttemptLedger,
     avoid: &[UpstreamKey],
-    wait_until: ClockTime,
+    (rank, wait_until): (WaitRank, ClockTime),
 ) -> Result<SendTarget, AttemptError> {
+    let service = &context.admitted.service;
     let mut denials = 0;
+    let mut waiting = None;
+    if !gateway.waiting.may_look_first(service, rank) {
+        let remaining_ms = wait_until.since(gateway.clock.now());
+        let waiter: &WaitingRequest = waiting.insert(gateway.waiting.enter(service, rank));
+        waiter.wait_for_turn(remaining_ms).await;
+    }
     loop {
         let now = gateway.clock.now();
         let chosen = choose_target(gateway, context, now, avoid);
@@ -452,7 +467,8 @@
                 ..refusal
             }));
         }
-        tokio::time::sleep(Duration::from_millis(CAPACITY_POLL_MS)).await;
+        let waiter = waiting.get_or_insert_with(|| gateway.waiting.enter(service, rank));
+        waiter.wait_for_turn(wait_until.since(now)).await;
     }
 }
 
@@ -469,6 +485,10 @@
         let detail = "the deadline passed before the request could be sent";
         return Err(RequestRefusal::not_run(RefusalReason::Deadline, detail));
     }
+    if context.caller.connection().has_left() {
+        let detail = "the caller has left";
+        return Err(RequestRefusal::not_run(RefusalReason::Deadline, detail));
+    }
     if let Some(remaining_ms) = context.bar_ms(now, &state) {
         let detail = "replicas crashed while they ran this request or others like it";
         let refusal = RequestRefusal::not_run(RefusalReason::Quarantined, detail);
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' connections and serves the HTTP/1.1 requests on them.
 
 use std::net::SocketAddr;
+use std::os::fd::AsRawFd;
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -108,7 +109,7 @@
 /// Serves a connection if there is room for it, else closes it.
 fn admit_connection(gateway: &Arc<Gateway>, stream: TcpStream) {
     let limits = gateway.state().routes.config().limits;
-    if let Some(connection) = gateway.callers.open(limits) {
+    if let Some(connection) = gateway.callers.open(stream.as_raw_fd(), limits) {
         let stream = CallerStream::new(stream, connection.clone());
         tokio::spawn(serve(gateway.clone(), stream, connection));
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::FutureExt;
 use gotham::router::build_simple_router;
@@ -17,10 +17,12 @@
 use crate::config::GatewayConfig;
 use crate::fetch::{self, HttpClient};
 use crate::gateway::caller_connection::CallerTable;
+use crate::gateway::own_delay::DELAY_INTERVAL_MS;
 use crate::gateway::permit::PermitAsks;
 use crate::gateway::pool::ConnectionPool;
 use crate::gateway::state::{GatewaySetup, GatewayState};
 use crate::gateway::upstream::UpstreamKey;
+use crate::gateway::waiting::WaitingRequests;
 use crate::gateway::{listener, peer_exchange, placement_runner, sync};
 use crate::metric::MetricSet;
 use crate::platform::kv::KvStore;
@@ -74,6 +76,8 @@
     pub pool: ConnectionPool,
     /// The open connections of callers, and what is held for them.
     pub callers: CallerTable,
+    /// Requests that wait for free capacity at the upstreams.
+    pub waiting: WaitingRequests,
     /// HTTP client for report queries and orders to replicas.
     pub client: HttpClient,
     /// HTTP client for queries whose answers must be of now, and not left from an earlier exchange.
@@ -151,6 +155,7 @@
         clock: BootClock,
         pool: ConnectionPool::default(),
         callers: CallerTable::new(config.caller_room, metrics.clone()),
+        waiting: WaitingRequests::new(metrics.waiting_requests.clone()),
         client: fetch::client(),
         unpooled_client: fetch::unpooled_client(),
         metrics,
@@ -174,6 +179,7 @@
     peer_exchange::start(gateway.clone()).await?;
     let placement = sync::start(gateway.clone(), store);
     tokio::spawn(log_domains(gateway.clone()));
+    tokio::spawn(measure_delay(gateway.clone()));
     let _ = signal_count.wait_for(|count| *count > 0).await;
     spdlog::info!("event=shutdown_requested in_flight={}", gateway.in_flight());
     gateway.state().draining = true;
@@ -202,6 +208,29 @@
     }
 }
 
+/// Measures at a fixed interval how late this task gets its turn on the thread.
+async fn measure_delay(gateway: Arc<Gateway>) {
+    let mut is_behind = false;
+    loop {
+        let due = Instant::now() + Duration::from_millis(DELAY_INTERVAL_MS);
+        tokio::time::sleep_until(due.into()).await;
+        let late_ms = u64::try_from(due.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let delay_ms = {
+            let own_delay = &mut gateway.state().own_delay;
+            own_delay.record(late_ms);
+            own_delay.delay_ms()
+        };
+        gateway
+            .metrics
+            .own_delay_ms
+            .set(i64::try_from(delay_ms).unwrap_or(i64::MAX));
+        if is_behind != (delay_ms >= DELAY_INTERVAL_MS) {
+            is_behind = !is_behind;
+            spdlog::warn!("event=own_delay delay_ms={delay_ms} is_behind={is_behind}");
+        }
+    }
+}
+
 /// At a fixed interval, logs the state of each failure domain and, if log lines were dropped since
 /// the last time, their number.
 async fn log_domains(gateway: Arc<Gateway>) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,6 +16,7 @@
 use crate::gateway::crash_ledger::{CrashLedger, CrashSeries};
 use crate::gateway::freshness::FreshnessProof;
 use crate::gateway::notice::NoticeQueue;
+use crate::gateway::own_delay::OwnDelay;
 use crate::gateway::part_ledger::{PartCertainty, PartLedger, PartRuling, ReplicaEnd};
 use crate::gateway::peer::{LinkKey, PeerTable};
 use crate::gateway::permit_table::{LimitChange, LimitSource, PermitTable};
@@ -167,6 +168,8 @@
     pub peer_addresses: Vec<SocketAddr>,
     /// Whether the addresses were read from the store since the start.
     pub peers_read: bool,
+    /// How far this gateway is behind its own work.
+    pub own_delay: OwnDelay,
     /// Whether a graceful shutdown has begun.
     pub draining: bool,
     setup: GatewaySetup,
@@ -195,6 +198,7 @@
             peer_version: 0,
             started_at: None,
             withheld_proof: None,
+            own_delay: OwnDelay::default(),
             draining: false,
             budgets: HashMap::new(),
             rng: Pcg64Mcg::seed_from_u64(setup.rng_seed),
@@ -347,6 +351,21 @@
         key_proved && now < request.deadline
     }
 
+    /// Refuses a request that this gateway cannot send in time since it is behind its own work.
+    ///
+    /// # Errors
+    ///
+    /// The refusal.
+    pub fn check_own_delay(&mut self, request: &AdmittedRequest) -> Result<(), RequestRefusal> {
+        let draw = self.rng.random();
+        let refusal_ms = self.own_delay.refusal_ms(request.latency_target_ms, draw);
+        refusal_ms.map_or(Ok(()), |retry_ms| {
+            let detail = "this gateway is behind its work";
+            let refusal = RequestRefusal::not_run(RefusalReason::Busy, detail);
+            Err(refusal.retry_after(retry_ms))
+        })
+    }
+
     /// Whether a target that was chosen before still takes new requests: none of its replicas has
     /// said since that it is leaving, or is gone.
     pub fn takes_requests(&self, target: &SendTarget) -> bool {
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -401,7 +401,9 @@
 ) -> bool {
     let state = gateway.state();
     let is_open = !context.is_barred(now, &state) && state.takes_requests(target);
-    is_open && state.may_still_send(now, &context.admitted)
+    is_open
+        && state.may_still_send(now, &context.admitted)
+        && !context.caller.connection().has_left()
 }
 
 fn build_request(
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -30,6 +30,10 @@
     /// Number of callers' connections that were given up, or not accepted, for want of room, by what
     /// they were doing.
     pub caller_evictions: IntCounterVec,
+    /// Number of a gateway's requests that wait for free capacity at the upstreams.
+    pub waiting_requests: IntGauge,
+    /// By how much a gateway is behind its own work, milliseconds.
+    pub own_delay_ms: IntGauge,
     /// Number of messages sent to other processes.
     pub messages_sent: IntCounter,
     /// Number of requests of an agent to the platform's key-value store; entries and gateways do
@@ -100,6 +104,14 @@
             ),
             &["phase"],
         )?;
+        let waiting_requests = IntGauge::new(
+            "lynxcart_waiting_requests",
+            "Requests that wait for free capacity.",
+        )?;
+        let own_delay_ms = IntGauge::new(
+            "lynxcart_own_delay_milliseconds",
+            "By how much the gateway is behind its own work.",
+        )?;
         let messages_sent = IntCounter::new(
             "lynxcart_mail_sent_total",
             "Messages sent to other processes.",
@@ -131,6 +143,8 @@
         registry.register(Box::new(caller_bytes.clone()))?;
         registry.register(Box::new(caller_connections.clone()))?;
         registry.register(Box::new(caller_evictions.clone()))?;
+        registry.register(Box::new(waiting_requests.clone()))?;
+        registry.register(Box::new(own_delay_ms.clone()))?;
         registry.register(Box::new(messages_sent.clone()))?;
         registry.register(Box::new(platform_requests.clone()))?;
         registry.register(Box::new(config_revision.clone()))?;
@@ -145,6 +159,8 @@
             caller_bytes,
             caller_connections,
             caller_evictions,
+            waiting_requests,
+            own_delay_ms,
             messages_sent,
             platform_requests,
             config_revision,
