Count only queries that follow a silence as unanswered

Cause: a replica is given up 450 ms after the first query that it left unanswered. A query for slowdowns at a fixed time that an event overtook, or that was sent right after one, counted as such, and with the stream's own next query a sound replica with late reports was given up.

Change: a query that a sign of life overtook does not count, and neither do those at fixed times. Beside it: heads may take the larger of the two times of the configuration again, since the rest of a body that was refused unread looks like the beginning of a head.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -185,7 +185,7 @@
     /// Largest body of a request, bytes.
     pub body_bytes: usize,
     /// Time within which the head of a request must arrive, milliseconds. The gateway applies the
-    /// larger of this and `idle_timeout_ms`, since its timer also runs while a connection is idle.
+    /// larger of this and `idle_timeout_ms`: the rest of a body that was refused unread looks like a head.
     pub header_timeout_ms: u64,
     /// Time for which a connection may be idle before the next request, milliseconds.
     pub idle_timeout_ms: u64,
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -58,7 +58,8 @@
         tick.tick().await;
         let limits = gateway.state().routes.config().limits;
         gateway.callers.expire(CallerTimeouts {
-            header_ms: limits.header_timeout_ms,
+            // The rest of a body that was refused unread looks like the beginning of a head.
+            header_ms: limits.header_timeout_ms.max(limits.idle_timeout_ms),
             idle_ms: limits.idle_timeout_ms,
         });
     }
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -256,16 +256,15 @@
     {
         return Ok(report.stalled);
     }
-    let stalled = Arc::new(
-        fetch_report(
-            gateway,
-            target.upstream,
-            target.address,
-            &target.upstream_id,
-        )
-        .await?
-        .stalled,
-    );
+    let key = target.upstream;
+    let report = fetch_report(gateway, key, target.address, &target.upstream_id).await;
+    // Only queries that follow a silence show one: those at fixed times may meet a replica that has
+    // just given a sign of life, and add up with the next to what looks like a dead one.
+    if matches!(&report, Err(failure) if *failure != QueryFailure::Limited) {
+        let mut state = gateway.state();
+        state.upstreams.record_unanswered(key, requested_at);
+    }
+    let stalled = Arc::new(report?.stalled);
     let report = StalledReport {
         requested_at,
         stalled: stalled.clone(),
@@ -338,12 +337,10 @@
         return Err(QueryFailure::Limited);
     }
     let request = report_request(address);
-    let sent_at = gateway.clock.now();
     let answer = send_to_replica(gateway, key, request, REPORT_TIMEOUT_MS).await;
     let now = gateway.clock.now();
-    match answer {
-        Ok(_) => gateway.state().upstreams.record_answer(now, key),
-        Err(_) => gateway.state().upstreams.record_unanswered(key, sent_at),
+    if answer.is_ok() {
+        gateway.state().upstreams.record_answer(now, key);
     }
     let (status, body) = answer?;
     if status != 200 {
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -574,9 +574,10 @@
     /// Records that a replica left a query of this gateway unanswered that was sent at `sent_at`.
     pub fn record_unanswered(&mut self, key: UpstreamKey, sent_at: ClockTime) {
         let record = &mut self.records[key.0 as usize];
-        // A query that was overtaken by a sign of life says nothing of the time before that.
-        let since = sent_at.max(record.answered_at);
-        record.unanswered_since.get_or_insert(since);
+        // A query that was overtaken by a sign of life was awaited for too short a time after it.
+        if sent_at >= record.answered_at {
+            record.unanswered_since.get_or_insert(sent_at);
+        }
     }
 
     /// Sets the limit that an upstream names.
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -287,6 +287,13 @@
             asked_at: 600,
             unresponsive: false,
         },
+        Case {
+            name: "one late answer after such a query",
+            unanswered: &[100, 500],
+            answered: Some(300),
+            asked_at: 750,
+            unresponsive: false,
+        },
     ];
     for case in cases {
         let mut table = UpstreamTable::default();
