Try parts that crashed together apart before together

Its log: a sound part and the crashing one were suspected together, since no answer had proved either; the first request let through after the quarantine had both, its crash told nothing apart, and the next was let through 5 s later, 9.2 s after the fifth crash. The callers' bound is 8 s. Change: a request with several parts in quarantine is let through 2 s later than one with a single one.

--- a/src/gateway/part_ledger.rs
+++ b/src/gateway/part_ledger.rs
@@ -46,6 +46,9 @@
 const MAX_JUDGE_GAP_MS: u64 = 1_000;
 /// Time for which no second request is let through after one was, milliseconds.
 const PROBE_MS: u64 = 5_000;
+/// Time by which a request with several parts in quarantine is let through later than one with a
+/// single one, milliseconds: only the latter's end tells which part is to blame.
+pub const TRY_APART_MS: u64 = 2_000;
 /// Time by which each gateway lets a request through later than the one before it, milliseconds.
 const PROBE_STAGGER_MS: u64 = 2_000;
 /// Upper bound of the gateways that let requests through one after the other; later ones do so
@@ -374,7 +377,11 @@
         let Some(first) = quarantined.first() else {
             return PartVerdict::Open;
         };
-        let stagger_ms = PROBE_STAGGER_MS * self.probe_rank as u64;
+        let apart_ms = match quarantined.len() {
+            1 => 0,
+            _ => TRY_APART_MS,
+        };
+        let stagger_ms = PROBE_STAGGER_MS * self.probe_rank as u64 + apart_ms;
         let quarantines = quarantined.iter().filter_map(|history| history.quarantine);
         let until = quarantines.map(|quarantine| quarantine.until).max();
         let released_at = until.unwrap_or_default() + stagger_ms;
--- a/tests/gateway/part_ledger.rs
+++ b/tests/gateway/part_ledger.rs
@@ -6,7 +6,7 @@
 use lynxcart::fingerprint::RequestFingerprint;
 use lynxcart::gateway::part_ledger::{
     PartCertainty, PartLedger, PartVerdict, PromptPart, SuspectRun, CONFIRMED_MS, PROBATION_MS,
-    PROOF_MS,
+    PROOF_MS, TRY_APART_MS,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -217,6 +217,14 @@
     assert_eq!(ledger.judge(now).len(), 2);
     now = now + PROBATION_MS;
     let parts = [part(FIRST), part(CRASHING)];
+    // A request with one of them shows more than one with both, whose crash tells nothing apart.
+    assert_eq!(ledger.verdict(now, &parts[..1]), PartVerdict::Probe);
+    assert_eq!(
+        ledger.verdict(now, &parts),
+        PartVerdict::Barred(TRY_APART_MS)
+    );
+    now = now + TRY_APART_MS;
+    assert_eq!(ledger.verdict(now, &parts), PartVerdict::Probe);
     ledger.begin_probe(now, &parts);
     ledger.record_crash(now + 100, replica(7), &run(7, &[FIRST, CRASHING]));
     now = now + 10_000;
