Move running requests off replicas that give their layers up

Cause: after a loss a spare replica is ordered to load the missing layers. Change: a stream moves off a later replica of its chain that no longer holds the layers that it runs, as off one that is draining.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,7 +18,7 @@
 use crate::gateway::event_stream::EventSplitter;
 use crate::gateway::forward::{start_attempt, AttemptError, RequestContext, StreamResume};
 use crate::gateway::reroute::{
-    check_silent_request, reroute_from_draining, AttemptHealth, SILENCE_CHECK_MS,
+    check_silent_request, reroute_from_shedding, AttemptHealth, SILENCE_CHECK_MS,
 };
 use crate::gateway::response::{record_completion, GatewayBody};
 use crate::gateway::run::Gateway;
@@ -367,12 +367,13 @@
         }
     }
 
-    /// Reroutes the stream around replicas that have started draining since the last check.
+    /// Reroutes the stream around replicas that have started draining, or to give up layers that it
+    /// runs on, since the last check.
     async fn reroute_on_changes(&mut self) {
         let current_version = self.gateway.state().upstreams.version();
         if current_version != self.table_version {
             self.table_version = current_version;
-            reroute_from_draining(&self.gateway, &self.context, &mut self.attempt).await;
+            reroute_from_shedding(&self.gateway, &self.context, &mut self.attempt).await;
         }
     }
 
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -150,24 +150,25 @@
     reroute(gateway, context, attempt, avoid, fault, may_retry).await
 }
 
-/// Reroutes a running request around later replicas of its chain that are draining or no longer
-/// registered, early, while draining ones still serve. The first replica is kept: it cannot be
-/// replaced while the request runs.
-pub async fn reroute_from_draining(
+/// Reroutes a running request around later replicas of its chain that are draining, no longer
+/// registered, or giving up the layers that they run for it, early, while they still serve. The first
+/// replica is kept: it cannot be replaced while the request runs.
+pub async fn reroute_from_shedding(
     gateway: &Arc<Gateway>,
     context: &RequestContext,
     attempt: &mut UpstreamAttempt,
 ) -> AttemptHealth {
-    let draining: Vec<UpstreamKey> = {
+    let shedding: Vec<UpstreamKey> = {
         let state = gateway.state();
-        let later_replicas = attempt.target.chain.iter().skip(1).map(|hop| hop.upstream);
-        later_replicas
-            .filter(|key| !state.upstreams.get(*key).registered())
+        let later_hops = attempt.target.chain.iter().skip(1);
+        later_hops
+            .filter(|hop| state.upstreams.get(hop.upstream).sheds(hop.layers))
+            .map(|hop| hop.upstream)
             .collect()
     };
-    match draining.is_empty() {
+    match shedding.is_empty() {
         true => AttemptHealth::Alive,
-        false => reroute(gateway, context, attempt, draining, None, false).await,
+        false => reroute(gateway, context, attempt, shedding, None, false).await,
     }
 }
 
@@ -184,10 +185,9 @@
 ) -> AttemptHealth {
     for _ in 0..MAX_REROUTE_ORDERS {
         let now = gateway.clock.now();
-        let chosen =
-            gateway
-                .state()
-                .choose_target(now, &context.admitted, &avoid, Some(&attempt.target));
+        let chosen = gateway
+            .state()
+            .choose_target(now, &context.admitted, &avoid, Some(&attempt.target));
         let Ok(target) = chosen else {
             return AttemptHealth::Stuck;
         };
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -63,6 +63,11 @@
         self.from <= self.to && self.to <= layers
     }
 
+    /// Whether the range contains all layers of another one.
+    pub fn contains(self, other: LayerRange) -> bool {
+        other.is_empty() || (self.from <= other.from && other.to <= self.to)
+    }
+
     /// Whether the range contains no layer.
     pub fn is_empty(self) -> bool {
         self.len() == 0
@@ -284,6 +289,13 @@
         !self.gone && !self.entry.draining && self.gone_at.is_none() && !self.doubted()
     }
 
+    /// Whether a request that runs there on these layers should move to another replica: this one is no
+    /// longer registered, or it gives the layers up, which it cannot finish while requests run on
+    /// them.
+    pub fn sheds(&self, layers: LayerRange) -> bool {
+        !self.registered() || !self.entry.layers.contains(layers)
+    }
+
     /// Whether it is in doubt whether words of another incarnation are those of this one.
     pub fn doubted(&self) -> bool {
         matches!(self.standing, Standing::Doubted { .. })
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -613,3 +613,52 @@
     ));
     assert_eq!(table.take_doubted(), [key]);
 }
+
+#[test]
+fn replica_that_gives_layers_up_sheds_the_requests_that_run_on_them() {
+    struct Case {
+        name: &'static str,
+        held: (u32, u32),
+        run: (u32, u32),
+        sheds: bool,
+    }
+    let cases = [
+        Case {
+            name: "all that it holds",
+            held: (10, 20),
+            run: (10, 20),
+            sheds: false,
+        },
+        Case {
+            name: "part of what it holds",
+            held: (10, 20),
+            run: (12, 18),
+            sheds: false,
+        },
+        Case {
+            name: "it has given all up to load others",
+            held: (0, 0),
+            run: (10, 20),
+            sheds: true,
+        },
+        Case {
+            name: "it has given some up",
+            held: (14, 20),
+            run: (10, 20),
+            sheds: true,
+        },
+        Case {
+            name: "it extends beyond them",
+            held: (10, 23),
+            run: (10, 20),
+            sheds: false,
+        },
+    ];
+    let range = |(from, to)| LayerRange { from, to };
+    for case in cases {
+        let mut table = UpstreamTable::default();
+        table.apply_entry(NOW, entry(1, "x", "a", "l4", range(case.held)));
+        let (_, record) = table.iter().next().expect("a registered replica");
+        assert_eq!(record.sheds(range(case.run)), case.sheds, "{}", case.name);
+    }
+}
