Hold room back for urgent requests, and let requests wait while they can be in time

Each looked for a fifth of its aim only, and was refused though a place became free soon after. Change: UrgentReserve (what more urgent requests of the service ask for at all gateways within a load report's interval is not filled), LeadTime (how long a request can wait and be in time), a second wait behind those that can be in time, interrupted streams after more urgent requests, Retry-After by the rate at which streams end.

--- a/src/gateway/chain.rs
+++ b/src/gateway/chain.rs
@@ -15,7 +15,7 @@
 const COST_NOISE: f64 = 0.06;
 /// Part of a replica's KV memory that requests may fill. A request that would fill more is not sent
 /// there, unless the replica already holds its KV cache.
-const MAX_FILL: f64 = 0.97;
+pub const MAX_FILL: f64 = 0.97;
 /// Factor on the cost of a hop at a replica with a limit whose answers were not heard for long, which
 /// is the only way to learn that the limit has ended.
 const UNHEARD_FACTOR: f64 = 0.25;
@@ -64,6 +64,8 @@
     pub avoid: &'a [UpstreamKey],
     /// The first hop that the chain must keep. `None` for a request that is not running yet.
     pub pinned_first: Option<ChainHop>,
+    /// Part of a replica's KV memory that the request may fill, at most [`MAX_FILL`].
+    pub max_fill: f64,
     /// Replicas that already hold the request's KV cache; empty if it is not running yet.
     pub current: &'a [UpstreamKey],
     /// Load that other gateways report, and this gateway's use of links.
@@ -325,7 +327,7 @@
         false => (query.prompt_tokens + query.expected_answer_tokens) * f64::from(layers),
     };
     let fill = (record.reserved_kv + estimated.reserved_kv + tokens) / capacity.max(1.0);
-    if fill > MAX_FILL && !is_current {
+    if fill > query.max_fill.min(MAX_FILL) && !is_current {
         return None;
     }
     let fill = fill.min(MAX_FILL);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -26,7 +26,7 @@
 use crate::gateway::reserved_target::ReservedTarget;
 use crate::gateway::response::{collect_response, record_response, refuse, GatewayBody};
 use crate::gateway::run::Gateway;
-use crate::gateway::state::{AdmittedRequest, GatewayState, RequestHead, SendTarget};
+use crate::gateway::state::{AdmittedRequest, GatewayState, RequestHead, RoomClaim, SendTarget};
 use crate::gateway::upstream::UpstreamKey;
 use crate::gateway::upstream_attempt::{send_request, FailedAttempt, OpenResponse, SendOptions};
 use crate::gateway::wait_queue::WaitRank;
@@ -34,9 +34,6 @@
 use crate::platform::headers::{request_meta, RequestMeta};
 use crate::verdict::{RefusalReason, RequestRefusal, RunVerdict};
 
-/// Longest wait of a request for free capacity at the upstreams, as a fraction of its latency
-/// target, counted from when the request was received.
-const CAPACITY_WAIT_FRACTION: f64 = 0.2;
 /// `Retry-After` of a request refused during shutdown, milliseconds. It is short because the other
 /// VMs keep serving.
 const SHUTDOWN_RETRY_AFTER_MS: u64 = 50;
@@ -404,18 +401,8 @@
     avoid: &[UpstreamKey],
     resume: Option<StreamResume>,
 ) -> Result<OpenResponse, AttemptError> {
-    let max_wait_ms = context.admitted.latency_target_ms as f64 * CAPACITY_WAIT_FRACTION;
-    let wait_until = match resume {
-        Some(resume) => resume.lost_at + MAX_RESUME_WAIT_MS,
-        None => context.received_at + max_wait_ms as u64,
-    };
     let last_event_id = resume.and_then(|resume| resume.last_event_id);
-    let rank = WaitRank {
-        is_new: last_event_id.is_none(),
-        priority: context.admitted.priority,
-        received_at: context.received_at,
-    };
-    let target = wait_for_target(gateway, context, ledger, avoid, (rank, wait_until)).await?;
+    let target = wait_for_target(gateway, context, ledger, avoid, resume).await?;
     ledger.record_attempt();
     let options = SendOptions {
         last_event_id,
@@ -427,14 +414,35 @@
         .map_err(AttemptError::Failed)
 }
 
+/// Chooses a target for a request. If there is none with free capacity, waits in turn: as long as
+/// the request can be answered in time, then for some time behind those that can. An interrupted
+/// stream waits as long as its caller tolerates the pause.
 async fn wait_for_target(
     gateway: &Arc<Gateway>,
     context: &RequestContext,
     ledger: &AttemptLedger,
     avoid: &[UpstreamKey],
-    (rank, wait_until): (WaitRank, ClockTime),
+    resume: Option<StreamResume>,
 ) -> Result<SendTarget, AttemptError> {
-    let service = &context.admitted.service;
+    let admitted = &context.admitted;
+    let mut rank = WaitRank {
+        is_late: false,
+        priority: admitted.priority,
+        is_new: resume.is_none_or(|resume| resume.last_event_id.is_none()),
+        received_at: context.received_at,
+    };
+    let (mut wait_until, late_until) = match resume {
+        Some(StreamResume { lost_at, .. }) => {
+            let limit = lost_at + MAX_RESUME_WAIT_MS;
+            (limit, limit)
+        }
+        None => (admitted.on_time_until, admitted.late_until),
+    };
+    let claim = match rank.is_new {
+        true => RoomClaim::New,
+        false => RoomClaim::Interrupted,
+    };
+    let service = &admitted.service;
     let mut denials = 0;
     let mut waiting = None;
     if !gateway.waiting.may_look_first(service, rank) {
@@ -444,7 +452,7 @@
     }
     loop {
         let now = gateway.clock.now();
-        let chosen = choose_target(gateway, context, now, avoid);
+        let chosen = choose_target(gateway, context, now, avoid, claim);
         let refusal = match chosen {
             Ok(target) => {
                 if !acquire_permit(gateway, target.get().upstream).await {
@@ -455,18 +463,39 @@
                     continue;
                 }
                 match begin_attempt(gateway, context, ledger, target) {
-                    Ok(target) => return Ok(target),
+                    Ok(target) => {
+                        if waiting.is_some() {
+                            let result = if rank.is_late { "late" } else { "in_time" };
+                            gateway.metrics.count_room_wait(rank.priority, result);
+                        }
+                        return Ok(target);
+                    }
                     Err(refusal) => refusal,
                 }
             }
             Err(refusal) => refusal,
         };
-        if refusal.reason != RefusalReason::NoUpstream || now >= wait_until {
+        let lacks_room = refusal.reason == RefusalReason::NoUpstream;
+        if !lacks_room || now >= late_until {
+            let verdict = ledger.verdict();
+            let retry_after_ms = match lacks_room {
+                true => {
+                    gateway.metrics.count_room_wait(rank.priority, "refused");
+                    Some(gateway.state().return_ms(now, service))
+                }
+                false => refusal.retry_after_ms,
+            };
             return Err(AttemptError::Refused(RequestRefusal {
-                verdict: ledger.verdict(),
+                verdict,
+                retry_after_ms,
                 ..refusal
             }));
         }
+        if now >= wait_until {
+            wait_until = late_until;
+            rank.is_late = true;
+            waiting = None;
+        }
         let waiter = waiting.get_or_insert_with(|| gateway.waiting.enter(service, rank));
         waiter.wait_for_turn(wait_until.since(now)).await;
     }
@@ -478,6 +507,7 @@
     context: &RequestContext,
     now: ClockTime,
     avoid: &[UpstreamKey],
+    claim: RoomClaim<'_>,
 ) -> Result<ReservedTarget, RequestRefusal> {
     let admitted = &context.admitted;
     let mut state = gateway.state();
@@ -499,7 +529,7 @@
         let refusal = RequestRefusal::not_run(RefusalReason::PlatformOutage, detail);
         return Err(refusal.retry_after(1_000));
     }
-    let target = state.choose_target(now, admitted, avoid, None)?;
+    let target = state.choose_target(now, admitted, avoid, claim)?;
     drop(state);
     Ok(ReservedTarget::new(gateway, target))
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod abandoned;
 pub mod attempt_ledger;
+pub mod average_rate;
 pub mod budget;
 pub mod caller_connection;
 pub mod caller_ledger;
@@ -22,6 +23,7 @@
 pub mod forward;
 pub mod freshness;
 pub mod held_plan;
+pub mod lead_time;
 pub mod leaving;
 pub mod listener;
 pub mod member_view;
@@ -50,5 +52,6 @@
 pub mod task;
 pub mod upstream;
 pub mod upstream_attempt;
+pub mod urgent_reserve;
 pub mod wait_queue;
 pub mod waiting;
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -122,6 +122,7 @@
         state.peers.refresh_totals(now);
         let mut messages = state.peers.load_messages(now, &state.upstreams);
         messages[0].config_version = state.routes.config().version;
+        messages[0].demands = state.reserve.take_report(now);
         let own_address = gateway.config.message_address;
         let earlier = state
             .peer_addresses
@@ -248,6 +249,9 @@
 fn apply_load(gateway: &Gateway, sender: &str, load: &GatewayLoad, from: SocketAddr) {
     let now = gateway.clock.now();
     let state = &mut *gateway.state();
+    if !load.demands.is_empty() {
+        state.reserve.apply_report(now, sender, &load.demands);
+    }
     for limit in &load.limits {
         apply_limit(now, state, limit, from);
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -168,6 +168,9 @@
         first => first,
     };
     relay.has_begun = true;
+    relay
+        .attempt
+        .record_lead_time(&relay.context.admitted.service);
     let headers = caller_headers(&relay.headers);
     let frames = stream::unfold((relay, first), |(mut relay, first)| async move {
         let chunk = match first {
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -16,7 +16,7 @@
 use crate::gateway::permit::acquire_permit;
 use crate::gateway::reserved_target::ReservedTarget;
 use crate::gateway::run::{Gateway, StalledReport};
-use crate::gateway::state::SendTarget;
+use crate::gateway::state::{RoomClaim, SendTarget};
 use crate::gateway::upstream::UpstreamKey;
 use crate::gateway::upstream_attempt::UpstreamAttempt;
 use crate::platform::headers::{chain_text, is_leaving, limit_statement};
@@ -185,9 +185,10 @@
 ) -> AttemptHealth {
     for _ in 0..MAX_REROUTE_ORDERS {
         let now = gateway.clock.now();
+        let claim = RoomClaim::Running(&attempt.target);
         let chosen = gateway
             .state()
-            .choose_target(now, &context.admitted, &avoid, Some(&attempt.target));
+            .choose_target(now, &context.admitted, &avoid, claim);
         let Ok(target) = chosen else {
             return AttemptHealth::Stuck;
         };
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,11 +10,15 @@
 use crate::clock::ClockTime;
 use crate::fingerprint::RequestFingerprint;
 use crate::gateway::abandoned::AbandonedRuns;
+use crate::gateway::average_rate::AverageRate;
 use crate::gateway::budget::{BudgetRule, RetryBudget};
-use crate::gateway::catalog::{pick_target, RouteError, RouteTable, ServingConfig, WorkKind};
-use crate::gateway::chain::{choose_chain, ChainHop, ChainQuery};
+use crate::gateway::catalog::{
+    pick_target, EngineRule, RouteError, RouteTable, ServingConfig, WorkKind,
+};
+use crate::gateway::chain::{choose_chain, ChainHop, ChainQuery, MAX_FILL};
 use crate::gateway::crash_ledger::{CrashLedger, CrashSeries};
 use crate::gateway::freshness::FreshnessProof;
+use crate::gateway::lead_time::LeadTime;
 use crate::gateway::notice::NoticeQueue;
 use crate::gateway::own_delay::OwnDelay;
 use crate::gateway::part_ledger::{PartCertainty, PartLedger, PartRuling, ReplicaEnd};
@@ -23,13 +27,23 @@
 use crate::gateway::rate_limit::{LimitStatement, StatedLimit};
 use crate::gateway::return_schedule::{ReturnSchedule, MAX_RETURN_MS};
 use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamTable};
+use crate::gateway::urgent_reserve::UrgentReserve;
 use crate::verdict::{RefusalReason, RequestRefusal};
 
 /// `retry_after_ms` of a request that is not admitted because this VM's configuration is missing or
 /// cannot be proved current, milliseconds. Short, because a retry is expected to reach another VM.
 const UNREADY_RETRY_MS: u64 = 100;
-/// `retry_after_ms` of a refusal because no chain or replica can take the request, milliseconds.
+/// Shortest `retry_after_ms` of a refusal because no chain or replica can take the request,
+/// milliseconds.
 const NO_UPSTREAM_RETRY_MS: u64 = 500;
+/// Longest wait of a request for free capacity where nothing tells how long it can still be answered in
+/// time, as a fraction of its latency target.
+const CAPACITY_WAIT_FRACTION: f64 = 0.2;
+/// Longest wait of a request for free capacity after which its answer is late, as a fraction of the
+/// time that its caller waits.
+const LATE_WAIT_FRACTION: f64 = 0.1;
+/// Upper bound of that wait, milliseconds.
+const MAX_LATE_WAIT_MS: f64 = 2_500.0;
 /// Time from the first answer of the store within which a peer tells a VM that has just started
 /// which version of the configuration it has, milliseconds: it finds the new VM in the store, and
 /// then reports to it at once.
@@ -93,6 +107,11 @@
     pub team: Option<String>,
     /// Deadline for the whole answer.
     pub deadline: ClockTime,
+    /// Until when the request may wait for free capacity and still be answered within its latency
+    /// target.
+    pub on_time_until: ClockTime,
+    /// Until when it may wait behind those that can be answered in time.
+    pub late_until: ClockTime,
     /// Latency target for the answer, or for its first event if it is a stream, milliseconds.
     pub latency_target_ms: u64,
     /// Number of tokens in the prompt.
@@ -103,6 +122,17 @@
     pub version: u64,
 }
 
+/// What a request that looks for capacity has of its answer.
+#[derive(Clone, Copy, Debug)]
+pub enum RoomClaim<'a> {
+    /// Nothing.
+    New,
+    /// Part of it, from a run that ended.
+    Interrupted,
+    /// It is running at this target, whose first replica stays the first.
+    Running(&'a SendTarget),
+}
+
 /// The upstream or chain chosen for one attempt, with the capacity reserved for it.
 #[derive(Clone, Debug)]
 pub struct SendTarget {
@@ -170,12 +200,18 @@
     pub peers_read: bool,
     /// How far this gateway is behind its own work.
     pub own_delay: OwnDelay,
+    /// Room that is held back for urgent requests.
+    pub reserve: UrgentReserve,
+    /// Time that replicas take to the first event of an answer.
+    pub lead_times: LeadTime,
     /// Whether a graceful shutdown has begun.
     pub draining: bool,
     setup: GatewaySetup,
     budgets: HashMap<String, RetryBudget>,
-    /// When callers are told to come back that only limits kept out, by service.
+    /// When callers are told to come back that found no capacity, by service.
     returns: HashMap<String, ReturnSchedule>,
+    /// Requests of this gateway that leave a chain of the service.
+    vacancies: HashMap<String, AverageRate>,
     rng: Pcg64Mcg,
 }
 
@@ -190,6 +226,7 @@
             parts: PartLedger::default(),
             permits: PermitTable::new(setup.message_address),
             returns: HashMap::new(),
+            vacancies: HashMap::new(),
             abandoned: AbandonedRuns::default(),
             notices: NoticeQueue::default(),
             peer_addresses: Vec::new(),
@@ -199,6 +236,8 @@
             started_at: None,
             withheld_proof: None,
             own_delay: OwnDelay::default(),
+            reserve: UrgentReserve::default(),
+            lead_times: LeadTime::default(),
             draining: false,
             budgets: HashMap::new(),
             rng: Pcg64Mcg::seed_from_u64(setup.rng_seed),
@@ -316,6 +355,8 @@
             priority: matched.priority(),
             team: matched.team.map(|team| team.name.clone()),
             deadline: now + timeout_ms,
+            on_time_until: now,
+            late_until: now,
             latency_target_ms: matched.route.latency_target_ms,
             prompt_tokens: f64::from(head.prompt_tokens),
             expected_answer_tokens: 0.0,
@@ -334,7 +375,13 @@
                 .map_or(mean, |hint| (f64::from(hint) + mean) / 2.0);
             request.expected_answer_tokens =
                 estimate.min(f64::from(head.max_answer_tokens).max(1.0));
+            let tokens = request.prompt_tokens + request.expected_answer_tokens;
+            self.reserve
+                .record(now, &request.service, request.priority, tokens);
         }
+        let (on_time_ms, late_ms) = self.wait_limits(&request, timeout_ms);
+        request.on_time_until = now + on_time_ms;
+        request.late_until = request.on_time_until + late_ms;
         let rule = self.setup.budget;
         let budget = self.budgets.entry(request.service.clone());
         budget
@@ -415,9 +462,59 @@
             .try_spend(now, gateways)
     }
 
+    /// How long a request may wait for free capacity and still be answered in time, and how long after
+    /// that, milliseconds. Only requests with an aim that go to replicas with KV memory wait long:
+    /// there, streams end all the time.
+    fn wait_limits(&self, request: &AdmittedRequest, timeout_ms: u64) -> (u64, u64) {
+        let target_ms = request.latency_target_ms;
+        if request.expected_answer_tokens <= 0.0 || target_ms == 0 {
+            return ((target_ms as f64 * CAPACITY_WAIT_FRACTION) as u64, 0);
+        }
+        let on_time_ms = self.lead_times.wait_ms(&request.service, target_ms);
+        let late_ms = (timeout_ms as f64 * LATE_WAIT_FRACTION).min(MAX_LATE_WAIT_MS);
+        (on_time_ms, late_ms as u64)
+    }
+
+    /// Time after which a request that found no capacity may come back, milliseconds: one after the
+    /// other, as fast as requests of this gateway leave the chains of the service.
+    pub fn return_ms(&mut self, now: ClockTime, service: &str) -> u64 {
+        let vacancies = self.vacancies.get(service);
+        let per_s = vacancies.map_or(0.0, |rate| rate.per_s(now));
+        let draw = self.rng.random();
+        let returns = self.returns.entry(service.to_owned()).or_default();
+        returns.next_ms(now, NO_UPSTREAM_RETRY_MS, per_s, draw)
+    }
+
+    /// Part of a replica's KV memory that a request may fill: all but what is held back for others.
+    fn max_fill(
+        &self,
+        now: ClockTime,
+        request: &AdmittedRequest,
+        engine: &EngineRule,
+        claim: RoomClaim<'_>,
+    ) -> f64 {
+        let is_late = now >= request.on_time_until;
+        let priority = match claim {
+            RoomClaim::Running(_) => return MAX_FILL,
+            RoomClaim::New if is_late => None,
+            RoomClaim::New | RoomClaim::Interrupted => Some(request.priority),
+        };
+        let records = self.upstreams.iter().map(|(_, record)| record);
+        let capacities = records
+            .filter(|record| record.entry.service == request.service && record.usable(now))
+            .filter_map(|record| {
+                let kind = engine.kind(&record.entry.kind)?;
+                Some(engine.kv_capacity(kind, record.entry.layers.len()))
+            });
+        let tokens = capacities.sum::<f64>() / f64::from(engine.layers.max(1));
+        MAX_FILL
+            - self
+                .reserve
+                .fraction(now, &request.service, priority, tokens)
+    }
+
     /// Chooses the upstream or chain for a request and reserves capacity at it. A chain does not
-    /// use the replicas in `avoid`; a plain service uses them only if it has no other. `running` is
-    /// the present target of a request that is already running; its first replica stays the first.
+    /// use the replicas in `avoid`; a plain service uses them only if it has no other.
     ///
     /// # Errors
     ///
@@ -427,7 +524,7 @@
         now: ClockTime,
         request: &AdmittedRequest,
         avoid: &[UpstreamKey],
-        running: Option<&SendTarget>,
+        claim: RoomClaim<'_>,
     ) -> Result<SendTarget, RequestRefusal> {
         let engine = self
             .routes
@@ -436,7 +533,10 @@
         let Some(engine) = engine else {
             return self.choose_plain(now, request, avoid);
         };
-        let chain = running.map_or(&[][..], |target| &target.chain);
+        let chain = match claim {
+            RoomClaim::Running(target) => &target.chain[..],
+            RoomClaim::New | RoomClaim::Interrupted => &[],
+        };
         let current: Vec<UpstreamKey> = chain.iter().map(|hop| hop.upstream).collect();
         let query = ChainQuery {
             now,
@@ -447,6 +547,7 @@
             domain: &self.setup.domain,
             avoid,
             pinned_first: chain.first().copied(),
+            max_fill: self.max_fill(now, request, engine, claim),
             current: &current,
             peers: &self.peers,
             permits: Some(&self.permits),
@@ -689,6 +790,15 @@
         lines
     }
 
+    /// Records that a request leaves the chain that it ran on.
+    pub fn record_vacancy(&mut self, now: ClockTime, target: &SendTarget) {
+        if !target.chain.is_empty() {
+            let service = &self.upstreams.get(target.upstream).entry.service;
+            let vacancies = self.vacancies.entry(service.clone());
+            vacancies.or_default().add(now, 1.0);
+        }
+    }
+
     /// Frees the capacity that [`Self::choose_target`] reserved for a target, and its use of links.
     pub fn release(&mut self, target: &SendTarget) {
         for (key, reserved_kv) in &target.reservations {
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -62,6 +62,7 @@
     fn drop(&mut self) {
         let now = self.gateway.clock.now();
         let mut state = self.gateway.state();
+        state.record_vacancy(now, &self.target);
         state.release(&self.target);
         if self.progress.sent_at.is_some() && !self.progress.is_settled {
             let replica = self.target.address;
@@ -82,6 +83,15 @@
         context.end_probe();
     }
 
+    /// Records how long the first event of the answer took, which is of a run from its beginning.
+    pub(super) fn record_lead_time(&self, service: &str) {
+        if let Some(sent_at) = self.progress.sent_at {
+            let event_ms = self.gateway.clock.now().since(sent_at) as f64;
+            let mut state = self.gateway.state();
+            state.lead_times.record(service, event_ms);
+        }
+    }
+
     /// Records that new events of the answer arrived, which comments are not. An answer that goes on shows that the parts
     /// of its prompt are sound.
     pub(super) fn record_event(&mut self) {
--- a/src/gateway/wait_queue.rs
+++ b/src/gateway/wait_queue.rs
@@ -13,14 +13,17 @@
 /// first may need more room than the next, or may have to avoid an upstream.
 const MAX_LOOKING: usize = 3;
 
-/// Place of a request in the order of its service: streams that were interrupted go first, since
-/// their callers have part of the answer; then the more urgent; then the earlier.
+/// Place of a request in the order of its service: what can be answered in time goes first; then the
+/// more urgent; then streams that were interrupted, since their callers have part of the answer; then
+/// the earlier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WaitRank {
-    /// Whether nothing of the request's answer has been sent to its caller.
-    pub is_new: bool,
+    /// Whether the answer can only be late.
+    pub is_late: bool,
     /// Priority; zero is the most urgent.
     pub priority: u8,
+    /// Whether nothing of the request's answer has been sent to its caller.
+    pub is_new: bool,
     /// When the request was received.
     pub received_at: ClockTime,
 }
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -32,6 +32,8 @@
     pub caller_evictions: IntCounterVec,
     /// Number of a gateway's requests that wait for free capacity at the upstreams.
     pub waiting_requests: IntGauge,
+    /// Waits of requests that found free capacity only later or not at all, by priority and result.
+    pub room_waits: IntCounterVec,
     /// By how much a gateway is behind its own work, milliseconds.
     pub own_delay_ms: IntGauge,
     /// Number of messages sent to other processes.
@@ -108,6 +110,13 @@
             "lynxcart_waiting_requests",
             "Requests that wait for free capacity.",
         )?;
+        let room_waits = IntCounterVec::new(
+            Opts::new(
+                "lynxcart_room_waits_total",
+                "Requests that waited for free capacity, by priority and how it ended.",
+            ),
+            &["priority", "result"],
+        )?;
         let own_delay_ms = IntGauge::new(
             "lynxcart_own_delay_milliseconds",
             "By how much the gateway is behind its own work.",
@@ -144,6 +153,7 @@
         registry.register(Box::new(caller_connections.clone()))?;
         registry.register(Box::new(caller_evictions.clone()))?;
         registry.register(Box::new(waiting_requests.clone()))?;
+        registry.register(Box::new(room_waits.clone()))?;
         registry.register(Box::new(own_delay_ms.clone()))?;
         registry.register(Box::new(messages_sent.clone()))?;
         registry.register(Box::new(platform_requests.clone()))?;
@@ -160,6 +170,7 @@
             caller_connections,
             caller_evictions,
             waiting_requests,
+            room_waits,
             own_delay_ms,
             messages_sent,
             platform_requests,
@@ -169,6 +180,12 @@
         })
     }
 
+    /// Counts the end of a wait for free capacity: `in_time`, `late` or `refused`.
+    pub fn count_room_wait(&self, priority: u8, result: &str) {
+        let labels = [&priority.to_string(), result];
+        self.room_waits.with_label_values(&labels).inc();
+    }
+
     /// Counts a permit that a request needed: `own`, `asked`, `denied` or `unanswered`.
     pub fn count_permit(&self, result: &str) {
         self.permits.with_label_values(&[result]).inc();
--- a/src/wire/gen.rs
+++ b/src/wire/gen.rs
@@ -465,6 +465,19 @@
     pub part_crashes: ::prost::alloc::vec::Vec<PartCrashes>,
     #[prost(message, repeated, tag = "6")]
     pub limits: ::prost::alloc::vec::Vec<UpstreamLimit>,
+    #[prost(message, repeated, tag = "7")]
+    pub demands: ::prost::alloc::vec::Vec<RoomDemand>,
+}
+/// What a gateway's callers ask for at a service, with one priority.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RoomDemand {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub priority: u32,
+    /// Tokens of prompts and answers each second.
+    #[prost(uint32, tag = "3")]
+    pub tokens_per_second: u32,
 }
 /// What an upstream said last of the requests that it takes from all gateways together.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/standins/src/gateway_scaling.rs
+++ b/standins/src/gateway_scaling.rs
@@ -100,6 +100,7 @@
         domain: "domain-0",
         avoid: &[],
         pinned_first: None,
+        max_fill: 1.0,
         current: &[],
         peers: &peers,
         permits: None,
--- a/tests/gateway/chain.rs
+++ b/tests/gateway/chain.rs
@@ -31,6 +31,7 @@
         domain: "a",
         avoid: &[],
         pinned_first: None,
+        max_fill: 1.0,
         current: &[],
         peers,
         permits: None,
--- a/tests/gateway/stampede.rs
+++ b/tests/gateway/stampede.rs
@@ -50,6 +50,7 @@
             domain: "a",
             avoid: &[],
             pinned_first: None,
+            max_fill: 1.0,
             current: &[],
             peers: &self.peers,
             permits: None,
