Ask the later replicas of a silent chain, and keep the links that a running request uses

The first replica's report, asked at 0.3 s and 0.2 s old itself, shows the loss when the aim of 0.3 s between events has passed. Change: where a route has a target for pauses, later replicas of a chain without an event for 0.1 s get a health check; those that do not answer while others do are left. A running request keeps links that it uses. A stream tries again after 0.2 s to move off a replica that gives its layers up.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -50,8 +50,8 @@
     pub anonymous: bool,
     /// Whether a stream may be resumed at another upstream.
     pub resumable: bool,
-    /// Target for the longest pause between two events of a stream, milliseconds. Decoded from the
-    /// configuration; the gateway's decisions do not use it.
+    /// Target for the longest pause between two events of a stream, milliseconds; zero if there is
+    /// none.
     pub gap_target_ms: u64,
 }
 
--- a/src/gateway/chain.rs
+++ b/src/gateway/chain.rs
@@ -68,6 +68,8 @@
     pub max_fill: f64,
     /// Replicas that already hold the request's KV cache; empty if it is not running yet.
     pub current: &'a [UpstreamKey],
+    /// Cross-domain links that the request uses already; empty if it is not running yet.
+    pub held_links: &'a [LinkKey],
     /// Load that other gateways report, and this gateway's use of links.
     pub peers: &'a PeerTable,
     /// Limits of the replicas, which count for the first one of a chain. `None` to disregard them.
@@ -368,7 +370,7 @@
     // Number of requests at which the link is in use for MAX_LINK_UTILIZATION of the time.
     let max_requests = (REQUEST_DURATION_MS * MAX_LINK_UTILIZATION / held_ms.max(0.01)).max(1.0);
     let fill = f64::from(query.peers.link_requests(&link_key)) / max_requests;
-    if fill >= 1.0 {
+    if fill >= 1.0 && !query.held_links.contains(&link_key) {
         return None;
     }
     let fill = fill.min(MAX_FILL);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod caller_stream;
 pub mod catalog;
 pub mod chain;
+pub mod chain_probe;
 pub mod crash_ledger;
 pub mod discovery;
 pub mod doubt;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -31,6 +31,10 @@
 /// arrive, milliseconds.
 const EVENT_REPORT_INTERVAL_MS: u64 = 300;
 
+/// Time after which another place is looked for again for a stream on a replica that gives its layers
+/// up, or is draining, milliseconds.
+const SHED_RETRY_MS: u64 = 200;
+
 /// Upper bound of what is read of a stream while a check on it is awaited.
 const MAX_EARLY_STEPS: usize = 64;
 
@@ -121,6 +125,9 @@
     checked_at: ClockTime,
     /// Version of the upstream table that the chain was last checked against.
     table_version: u64,
+    /// When to look again for another place for what a replica gives up. `None` if there is nothing to
+    /// move.
+    shed_retry_at: Option<ClockTime>,
 }
 
 /// Builds the response that relays an upstream's event stream to the caller, once there is something to
@@ -156,6 +163,7 @@
         silent_ms: 0,
         checked_at: gateway.clock.now(),
         table_version: gateway.state().upstreams.version(),
+        shed_retry_at: None,
     };
     let first = match relay.next().await {
         Some(Err(error)) => {
@@ -374,10 +382,17 @@
     /// runs on, since the last check.
     async fn reroute_on_changes(&mut self) {
         let current_version = self.gateway.state().upstreams.version();
-        if current_version != self.table_version {
-            self.table_version = current_version;
-            reroute_from_shedding(&self.gateway, &self.context, &mut self.attempt).await;
+        let now = self.gateway.clock.now();
+        let is_due = self.shed_retry_at.is_some_and(|due| now >= due);
+        if current_version == self.table_version && !is_due {
+            return;
         }
+        self.table_version = current_version;
+        let health = reroute_from_shedding(&self.gateway, &self.context, &mut self.attempt).await;
+        self.shed_retry_at = match health {
+            AttemptHealth::Stuck => Some(self.gateway.clock.now() + SHED_RETRY_MS),
+            _ => None,
+        };
     }
 
     fn abort(&mut self, reason: &str) -> Result<Bytes, io::Error> {
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 
 use crate::fetch::read_whole;
+use crate::gateway::chain_probe::find_unreachable;
 use crate::gateway::forward::RequestContext;
 use crate::gateway::notice::{note_leaving, note_limit};
 use crate::gateway::permit::acquire_permit;
@@ -74,7 +75,10 @@
             || state.upstreams.get(attempt.target.upstream).owes_answer()
     };
     if !query_report && !in_doubt {
-        return AttemptHealth::Alive;
+        return match context.admitted.gap_target_ms {
+            0 => AttemptHealth::Alive,
+            _ => check_later_replicas(gateway, context, attempt, may_retry).await,
+        };
     }
     let first = attempt.target.upstream;
     let stalled = match fetch_stalled(gateway, &attempt.target).await {
@@ -150,6 +154,35 @@
     reroute(gateway, context, attempt, avoid, fault, may_retry).await
 }
 
+/// Asks the later replicas of a chain whether they are there, and reroutes the request around those
+/// that are not.
+async fn check_later_replicas(
+    gateway: &Arc<Gateway>,
+    context: &RequestContext,
+    attempt: &mut UpstreamAttempt,
+    may_retry: bool,
+) -> AttemptHealth {
+    let unreachable = find_unreachable(gateway, &attempt.target.chain).await;
+    let now = gateway.clock.now();
+    for key in &unreachable {
+        let mut state = gateway.state();
+        if !state.upstreams.get(*key).suspected(now) {
+            let id = &state.upstreams.get(*key).entry.id;
+            spdlog::warn!("event=later_replica_unreachable id={id}");
+            state.upstreams.suspect(now, *key);
+        }
+        drop(state);
+        attempt.note_crash(context, *key);
+    }
+    if unreachable.is_empty() {
+        return AttemptHealth::Alive;
+    }
+    if context.is_barred(now, &gateway.state()) {
+        return AttemptHealth::Quarantined;
+    }
+    reroute(gateway, context, attempt, unreachable, None, may_retry).await
+}
+
 /// Reroutes a running request around later replicas of its chain that are draining, no longer
 /// registered, or giving up the layers that they run for it, early, while they still serve. The first
 /// replica is kept: it cannot be replaced while the request runs.
@@ -166,10 +199,18 @@
             .map(|hop| hop.upstream)
             .collect()
     };
-    match shedding.is_empty() {
-        true => AttemptHealth::Alive,
-        false => reroute(gateway, context, attempt, shedding, None, false).await,
+    if shedding.is_empty() {
+        return AttemptHealth::Alive;
+    }
+    let health = reroute(gateway, context, attempt, shedding, None, false).await;
+    if health != AttemptHealth::Alive {
+        spdlog::info!(
+            "event=shedding_deferred request={} chain={}",
+            context.meta.id,
+            chain_text(&attempt.target.path)
+        );
     }
+    health
 }
 
 /// Moves a running request to a chain without the replicas in `avoid`. If `may_retry` is set, a
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -17,6 +17,7 @@
 use crate::config::GatewayConfig;
 use crate::fetch::{self, HttpClient};
 use crate::gateway::caller_connection::CallerTable;
+use crate::gateway::chain_probe::ProbeTable;
 use crate::gateway::own_delay::DELAY_INTERVAL_MS;
 use crate::gateway::permit::PermitAsks;
 use crate::gateway::pool::ConnectionPool;
@@ -78,6 +79,8 @@
     pub callers: CallerTable,
     /// Requests that wait for free capacity at the upstreams.
     pub waiting: WaitingRequests,
+    /// The latest probes of the replicas of silent chains.
+    pub probes: ProbeTable,
     /// HTTP client for report queries and orders to replicas.
     pub client: HttpClient,
     /// HTTP client for queries whose answers must be of now, and not left from an earlier exchange.
@@ -156,6 +159,7 @@
         pool: ConnectionPool::default(),
         callers: CallerTable::new(config.caller_room, metrics.clone()),
         waiting: WaitingRequests::new(metrics.waiting_requests.clone()),
+        probes: ProbeTable::default(),
         client: fetch::client(),
         unpooled_client: fetch::unpooled_client(),
         metrics,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -114,6 +114,9 @@
     pub late_until: ClockTime,
     /// Latency target for the answer, or for its first event if it is a stream, milliseconds.
     pub latency_target_ms: u64,
+    /// Target for the longest pause between two events of a stream, milliseconds; zero if there is
+    /// none.
+    pub gap_target_ms: u64,
     /// Number of tokens in the prompt.
     pub prompt_tokens: f64,
     /// Expected number of tokens in the answer; zero for a plain service.
@@ -358,6 +361,7 @@
             on_time_until: now,
             late_until: now,
             latency_target_ms: matched.route.latency_target_ms,
+            gap_target_ms: matched.route.gap_target_ms,
             prompt_tokens: f64::from(head.prompt_tokens),
             expected_answer_tokens: 0.0,
             version: self.routes.config().version,
@@ -533,9 +537,9 @@
         let Some(engine) = engine else {
             return self.choose_plain(now, request, avoid);
         };
-        let chain = match claim {
-            RoomClaim::Running(target) => &target.chain[..],
-            RoomClaim::New | RoomClaim::Interrupted => &[],
+        let (chain, held_links) = match claim {
+            RoomClaim::Running(target) => (&target.chain[..], &target.links[..]),
+            RoomClaim::New | RoomClaim::Interrupted => (&[][..], &[][..]),
         };
         let current: Vec<UpstreamKey> = chain.iter().map(|hop| hop.upstream).collect();
         let query = ChainQuery {
@@ -549,6 +553,7 @@
             pinned_first: chain.first().copied(),
             max_fill: self.max_fill(now, request, engine, claim),
             current: &current,
+            held_links,
             peers: &self.peers,
             permits: Some(&self.permits),
         };
--- a/standins/src/gateway_scaling.rs
+++ b/standins/src/gateway_scaling.rs
@@ -101,6 +101,7 @@
         avoid: &[],
         pinned_first: None,
         max_fill: 1.0,
+        held_links: &[],
         current: &[],
         peers: &peers,
         permits: None,
--- a/tests/gateway/chain.rs
+++ b/tests/gateway/chain.rs
@@ -32,6 +32,7 @@
         avoid: &[],
         pinned_first: None,
         max_fill: 1.0,
+        held_links: &[],
         current: &[],
         peers,
         permits: None,
@@ -176,6 +177,28 @@
     }
 }
 
+#[test]
+fn a_running_request_keeps_the_links_that_it_uses() {
+    let engine = engine();
+    let mut table = UpstreamTable::default();
+    let layers = |from, to| LayerRange { from, to };
+    for (number, domain, layers) in [(1, "a", layers(0, 40)), (2, "b", layers(40, 80))] {
+        table.apply_entry(ClockTime(0), entry(number, domain, domain, "a100", layers));
+    }
+    let mut peers = PeerTable::default();
+    let links = [LinkKey::between("a", "b")];
+    peers.add_links(&vec![links[0].clone(); 40]);
+    let mut rng = Pcg64Mcg::seed_from_u64(6);
+    let new = query(&engine, &peers);
+    assert_eq!(choose_chain(&table, &new, &mut rng), None);
+    let running = ChainQuery {
+        held_links: &links,
+        ..new
+    };
+    let chain = choose_chain(&table, &running, &mut rng).unwrap();
+    assert_eq!(domains(&table, &chain), ["a", "b"]);
+}
+
 #[test]
 fn load_reported_by_peers_is_counted() {
     let engine = engine();
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod caller_ledger;
 mod catalog;
 mod chain;
+mod chain_probe;
 mod config;
 mod crash_ledger;
 mod event_stream;
--- a/tests/gateway/stampede.rs
+++ b/tests/gateway/stampede.rs
@@ -51,6 +51,7 @@
             avoid: &[],
             pinned_first: None,
             max_fill: 1.0,
+            held_links: &[],
             current: &[],
             peers: &self.peers,
             permits: None,
--- a/tests/gateway/urgent_reserve.rs
+++ b/tests/gateway/urgent_reserve.rs
@@ -134,6 +134,7 @@
             avoid: &[],
             pinned_first: None,
             max_fill: MAX_FILL - held,
+            held_links: &[],
             current: &[],
             peers: &self.peers,
             permits: None,
