Revert "Let idle watches wait longer, and send them again when their connections are silent"

Traced in its log: a watch was superseded in the last moment of the outage, and what was asked in its place went silent as well. That used up the only second question, which is otherwise asked once the answer is overdue; the watch ended by its timeout 0.8 s later, and the removal that it brought counted as one after a failure of the store, with 2.5 s of grace. Change: the commit is taken back.

--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -29,10 +29,9 @@
 /// Upper bound of the wait of one configuration watch, milliseconds. It is the only bound where
 /// `revoke_ms` is not set.
 const MAX_CONFIG_WATCH_MS: u64 = 5_000;
-/// Longest wait of one watch on the gateways, the notices or the placement lease, milliseconds. That
-/// their connections have gone silent is noticed by the watch on the configuration, which waits less
-/// long. The store allows 30 s.
-pub(super) const IDLE_WATCH_MS: u64 = 20_000;
+/// Longest wait of one watch on the gateways, the notices or the placement lease, milliseconds. A
+/// connection that has gone silent is noticed only after it.
+pub(super) const IDLE_WATCH_MS: u64 = 5_000;
 /// Upper bound of the wait of one registry watch, milliseconds. The store allows 30 s.
 const MAX_REGISTRY_WATCH_MS: u64 = 20_000;
 /// Pause between two registry watches, and longest wait of one, as a fraction of `leave_bound_ms`, the
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -109,30 +109,22 @@
 /// The pool of connections to the store. It is replaced when a request is not answered in time: the
 /// idle connections may have gone silent as well, and each would cost a timeout.
 #[derive(Debug)]
-struct StorePool {
-    current: Mutex<(HttpClient, u64)>,
-    /// The clients with lower numbers have connections that are known to be silent, while the store
-    /// answers on others.
-    silent: watch::Sender<u64>,
-}
+struct StorePool(Mutex<(HttpClient, u64)>);
 
 impl StorePool {
     fn new() -> StorePool {
-        StorePool {
-            current: Mutex::new((crate::fetch::client(), 0)),
-            silent: watch::Sender::new(0),
-        }
+        StorePool(Mutex::new((crate::fetch::client(), 0)))
     }
 
     /// The present client, and its number.
     fn client(&self) -> (HttpClient, u64) {
-        let current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        let current = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         current.clone()
     }
 
     /// Replaces the client with this number, unless it was replaced before.
     fn replace(&self, number: u64) {
-        let mut current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut current = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if current.1 == number {
             *current = (crate::fetch::client(), number + 1);
             spdlog::info!("event=store_connections_replaced");
@@ -140,25 +132,6 @@
     }
 }
 
-impl StorePool {
-    /// Records that the store answers on connections of the client with this number. Watches that wait on
-    /// those of earlier ones, which were replaced for their silence, are sent again.
-    fn record_answer(&self, number: u64) {
-        self.silent.send_if_modified(|silent| {
-            let is_new = number > *silent;
-            *silent = number.max(*silent);
-            is_new
-        });
-    }
-
-    /// Waits until the connections of the client with this number are known to be silent.
-    async fn superseded(&self, number: u64) {
-        let mut silent = self.silent.subscribe();
-        // The sender lives as long as the pool.
-        let _ = silent.wait_for(|silent| *silent > number).await;
-    }
-}
-
 /// Client of the platform's store at one address. Clones share the connections and what is known of the
 /// store's era.
 #[derive(Clone, Debug)]
@@ -215,9 +188,6 @@
         let response = send_whole(client, request);
         match tokio::time::timeout(Duration::from_millis(timeout_ms), response).await {
             Ok(Ok(response)) => {
-                if let Some(number) = number {
-                    self.pool.record_answer(number);
-                }
                 let status = response.status().as_u16();
                 let era = match status {
                     200..=299 | 404 | 410 | 412 => {
@@ -348,7 +318,7 @@
         }
     }
 
-    /// Sends a watch. If its answer is overdue, or that of another watch on the same connections was, sends another one on a new connection that does not
+    /// Sends a watch. If its answer is overdue, sends another one on a new connection that does not
     /// wait, and returns the first answer of the two.
     async fn send_watch(
         &self,
@@ -372,10 +342,8 @@
         );
         let mut first = std::pin::pin!(first);
         let overdue = Duration::from_millis(wait_ms + WATCH_OVERDUE_MS);
-        tokio::select! {
-            answer = first.as_mut() => return answer,
-            () = tokio::time::sleep(overdue) => {}
-            () = self.pool.superseded(number) => {}
+        if let Ok(answer) = tokio::time::timeout(overdue, first.as_mut()).await {
+            return answer;
         }
         let another = crate::fetch::client();
         let second = self.send_with(&another, None, query(0), REQUEST_TIMEOUT_MS);
@@ -384,7 +352,6 @@
             answer = second => match answer {
                 Ok(answer) => {
                     self.pool.replace(number);
-                    self.pool.record_answer(number + 1);
                     Ok(answer)
                 }
                 Err(_) => first.await,
