Let late requests wait for less, and leave more room to those in time

Where replicas take longer to the first event than the aim, LeadTime left no wait at all, so that all that did not find room at once counted as late. Change: at least a fifth of the aim may be waited, as before; late requests wait for 1 s at most, and leave the room that others ask for in two seconds.

--- a/src/gateway/lead_time.rs
+++ b/src/gateway/lead_time.rs
@@ -10,6 +10,9 @@
 const DEVIATIONS: f64 = 4.0;
 /// Smallest part of the latency target that is allowed for the answer.
 const MIN_PART: f64 = 0.2;
+/// Largest part. A request may always wait for the rest: where answers are late by themselves, those that
+/// found room at once would else be all that is served.
+const MAX_PART: f64 = 0.8;
 /// Part of the latency target that is allowed for the answer while none was measured.
 const UNKNOWN_PART: f64 = 0.5;
 
@@ -51,7 +54,7 @@
             Some(time) => time.mean_ms + DEVIATIONS * time.deviation_ms,
             None => target_ms * UNKNOWN_PART,
         };
-        let lead_ms = lead_ms.max(target_ms * MIN_PART);
-        (target_ms - lead_ms).max(0.0) as u64
+        let lead_ms = lead_ms.clamp(target_ms * MIN_PART, target_ms * MAX_PART);
+        (target_ms - lead_ms) as u64
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -43,7 +43,7 @@
 /// time that its caller waits.
 const LATE_WAIT_FRACTION: f64 = 0.1;
 /// Upper bound of that wait, milliseconds.
-const MAX_LATE_WAIT_MS: f64 = 2_500.0;
+const MAX_LATE_WAIT_MS: f64 = 1_000.0;
 /// Time from the first answer of the store within which a peer tells a VM that has just started
 /// which version of the configuration it has, milliseconds: it finds the new VM in the store, and
 /// then reports to it at once.
--- a/src/gateway/urgent_reserve.rs
+++ b/src/gateway/urgent_reserve.rs
@@ -16,7 +16,7 @@
 const RESERVE_MS: f64 = LOAD_INTERVAL_MS as f64;
 /// As [`RESERVE_MS`], for a request that can only be answered late: while it runs, it would slow down
 /// those that are in time.
-const LATE_RESERVE_MS: f64 = 1_000.0;
+const LATE_RESERVE_MS: f64 = 2_000.0;
 /// Upper bound of the part of a service's room that is held back.
 const MAX_RESERVE: f64 = 0.3;
 /// Age from which a peer's rates no longer count, milliseconds.
