Show requests that a planned stop closes unanswered

A gateway that gets a SIGTERM serves until 0.4 s before its drain limit, then exits with requests in flight. Their callers see a closed connection without a byte, whether the request may be repeated or not (rule LOST).

--- a/standins/src/raw.rs
+++ b/standins/src/raw.rs
@@ -52,6 +52,11 @@
     /// comes first. When it comes again on a connection that was used before, the refusal is
     /// written once more before the answer.
     RefusesAgain,
+    /// Answers with the request's body after some time.
+    AnswersAfter {
+        /// Time from the request to the answer, in milliseconds.
+        delay_ms: u64,
+    },
     /// Writes an answer as it stands, with `{id}` replaced by the id of the request.
     Writes(&'static str),
     /// Sends whole events of a stream, as many as the caller asks for.
@@ -376,6 +381,11 @@
                     }
                 }
             }
+            RawBehaviour::AnswersAfter { delay_ms } => {
+                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                let answer = response(id, &request.body);
+                stream.write_all(answer.as_bytes()).await
+            }
             RawBehaviour::Writes(answer) => {
                 let answer = answer.replace("{id}", id);
                 stream.write_all(answer.as_bytes()).await
