Log again how many requests a gateway's stop cut short

Operators count the requests that the stop cut short, which a test of the entry's line expects as well: the line has both.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -186,9 +186,11 @@
                 spdlog::info!("event=stopped code=0");
                 return Ok(0);
             }
-            ShutdownStep::CutShort => {
+            ShutdownStep::CutShort { requests } => {
                 let ended = gateway.metrics.ended_by_stop_summary();
-                spdlog::error!("event=shutdown_cut_short unanswered={in_flight} {ended}");
+                spdlog::error!(
+                    "event=shutdown_cut_short requests={requests} unanswered={in_flight} {ended}"
+                );
                 return Ok(EXIT_CUT_SHORT);
             }
         }
--- a/src/gateway/shutdown.rs
+++ b/src/gateway/shutdown.rs
@@ -39,8 +39,11 @@
     Continue(ShutdownPhase),
     /// The process exits; all requests are served.
     Stop,
-    /// The process exits after requests were ended.
-    CutShort,
+    /// The process exits after it was cut short.
+    CutShort {
+        /// Number of requests that were in flight when they were ended.
+        requests: usize,
+    },
 }
 
 /// The course of a graceful shutdown.
@@ -48,8 +51,8 @@
 pub struct ShutdownSchedule {
     requested_at: ClockTime,
     drain_limit_ms: u64,
-    /// When the requests in flight were ended.
-    ending_since: Option<ClockTime>,
+    /// When the requests in flight were ended, and their number.
+    ending: Option<(ClockTime, usize)>,
 }
 
 impl ShutdownSchedule {
@@ -58,17 +61,17 @@
         ShutdownSchedule {
             requested_at,
             drain_limit_ms,
-            ending_since: None,
+            ending: None,
         }
     }
 
     /// Decides what to do at `now`. A second signal ends the requests in flight at once; a limit
     /// that is too short leaves them the time for their answers nevertheless.
     pub fn step(&mut self, now: ClockTime, signal_count: u32, in_flight: usize) -> ShutdownStep {
-        if let Some(ending_since) = self.ending_since {
+        if let Some((ending_since, requests)) = self.ending {
             let is_over = in_flight == 0 || now.since(ending_since) >= ENDING_MS;
             return match is_over {
-                true => ShutdownStep::CutShort,
+                true => ShutdownStep::CutShort { requests },
                 false => ShutdownStep::Continue(ShutdownPhase::Ending),
             };
         }
@@ -80,7 +83,7 @@
             .drain_limit_ms
             .saturating_sub(SHUTDOWN_MARGIN_MS + ENDING_MS);
         if signal_count > 1 || elapsed_ms >= service_ms {
-            self.ending_since = Some(now);
+            self.ending = Some((now, in_flight));
             return ShutdownStep::Continue(ShutdownPhase::Ending);
         }
         ShutdownStep::Continue(match elapsed_ms >= BALANCER_NOTICE_MS {
--- a/tests/gateway/shutdown.rs
+++ b/tests/gateway/shutdown.rs
@@ -21,7 +21,7 @@
     assert_eq!(phases[0], ShutdownStep::Continue(ShutdownPhase::Leaving));
     assert!(count(ShutdownStep::Continue(ShutdownPhase::Closing)) > 0);
     assert!(count(ENDING) > 0, "no time for the answers");
-    assert_eq!(phases[7_999], ShutdownStep::CutShort);
+    assert_eq!(phases[7_999], ShutdownStep::CutShort { requests: 5 });
     // Replicas at work in the last sixth of the grace excuse a late end.
     assert!(!phases[..8_000 / 6 * 5].contains(&ENDING), "ended early");
 }
@@ -41,7 +41,8 @@
         assert_eq!(schedule.step(SIGNAL, signals, 5), ENDING);
         assert_eq!(schedule.step(SIGNAL + 50, signals, 5), ENDING);
         let end = schedule.step(SIGNAL + 60, signals, 0);
-        assert_eq!(end, ShutdownStep::CutShort, "{drain_limit_ms} {signals}");
+        let cut_short = ShutdownStep::CutShort { requests: 5 };
+        assert_eq!(end, cut_short, "{drain_limit_ms} {signals}");
     }
 }
 
@@ -88,7 +89,7 @@
                     prop_assert_eq!(in_flight, 0);
                     break;
                 }
-                ShutdownStep::CutShort => {
+                ShutdownStep::CutShort { .. } => {
                     prop_assert_eq!(latest, ShutdownPhase::Ending);
                     break;
                 }
