Answer the requests that outlast an entry's stop before it exits

What callers saw: at a second signal or the drain limit an entry exited, and the connections of its requests in flight closed. Some callers got the refusal of a reader that was too slow, as the answer channels were dropped while the HTTP threads still ran: which of the two was a race. An idle entry took requests for its last 0.3 s and answered none of them.

Cause: once the exit was decided, the state thread slept to let the last bytes out and returned. It neither ended what was in flight nor read its queue any more.

Fix: in the last 0.4 s before the limit, or at a second signal, the entry ends the requests in flight. Operations are cancelled as at their deadlines, so that the agent's word decides whether they have run; completions are given up and their stages closed. A refused operation that is being cancelled is not sent to another agent. The queue is read until the last bytes are out, so late callers are refused. shutdown_ending logs the beginning of the end, and shutdown_cut_short what is left unanswered.

--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -23,7 +23,8 @@
 use crate::fetch;
 use crate::messaging::{self, MessageSender, MessagingEvent};
 use crate::process::{
-    common_routes, on_shutdown_signal, spawn_thread, ProcessContext, ShutdownTracker, FLUSH_MS,
+    common_routes, on_shutdown_signal, spawn_thread, ProcessContext, ShutdownStep, ShutdownTracker,
+    FLUSH_MS,
 };
 use crate::store::etcd::EtcdStore;
 use crate::store::{PlatformRequest, PlatformStore};
@@ -114,9 +115,12 @@
     drain_limit_ms: u64,
 ) -> eyre::Result<i32> {
     let clock = MonotonicClock::start();
-    let mut shutdown = ShutdownTracker::new(drain_limit_ms);
+    // Entries answer the callers of an agent that has exited.
+    let mut shutdown = ShutdownTracker::new(drain_limit_ms, 0);
     loop {
-        let sleep = state.next_wake().since(clock.now()).min(MAX_SLEEP_MS);
+        let now = clock.now();
+        let wake = state.next_wake().min(shutdown.next_wake(now));
+        let sleep = wake.since(now).min(MAX_SLEEP_MS);
         let input = match inputs.recv_timeout(Duration::from_millis(sleep)) {
             Ok(input) => input,
             Err(RecvTimeoutError::Timeout) => AgentInput::Tick,
@@ -132,7 +136,8 @@
         }
         let in_flight = i64::try_from(state.in_flight()).unwrap_or(i64::MAX);
         channels.context.metrics.in_flight.set(in_flight);
-        if let Some(code) = shutdown.exit_code(now, state.is_drained(), state.in_flight()) {
+        let step = shutdown.step(now, state.is_drained(), state.in_flight());
+        if let ShutdownStep::Exit(code) = step {
             for output in state.release_lease() {
                 channels.perform(output)?;
             }
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -332,6 +332,14 @@
         self.remove(cx, request_id)
     }
 
+    /// Refuses all requests, since the entry stops.
+    pub fn end_all(&mut self, cx: &mut EntryContext) {
+        let detail = "this entry stops before the answer is complete";
+        for (request_id, slot) in std::mem::take(&mut self.slots) {
+            self.give_up(cx, request_id, &slot, RefusalReason::Deadline, detail);
+        }
+    }
+
     /// Runs the timers that are due.
     pub fn tick(&mut self, cx: &mut EntryContext) {
         let due: Vec<RequestKey> = self
--- a/src/entry/operation.rs
+++ b/src/entry/operation.rs
@@ -81,6 +81,8 @@
     phase: OperationPhase,
     /// Whether an earlier attempt may have run; the outcome of a later one does not change that.
     may_have_run: bool,
+    /// Whether the operation is ended since the entry stops.
+    is_ended: bool,
 }
 
 impl OperationSlot {
@@ -129,6 +131,7 @@
             sent_at: cx.now,
             phase: OperationPhase::Sent,
             may_have_run: false,
+            is_ended: false,
         };
         self.send(cx, request_id, slot);
     }
@@ -237,6 +240,23 @@
         }
     }
 
+    /// Ends all operations, since the entry stops: refuses those that are with no agent, and cancels
+    /// the others as at their deadlines.
+    pub fn end_all(&mut self, cx: &mut EntryContext) {
+        for (request_id, mut slot) in std::mem::take(&mut self.slots) {
+            slot.is_ended = true;
+            slot.work.deadline = slot.work.deadline.min(cx.now);
+            match slot.phase {
+                OperationPhase::Cancelling => {
+                    self.slots.insert(request_id, slot);
+                }
+                OperationPhase::AwaitingOwner(_) | OperationPhase::Sent => {
+                    self.handle_timeout(cx, request_id, slot);
+                }
+            }
+        }
+    }
+
     /// Handles a heartbeat of an agent: operations that wait for an owner are sent if the agent now
     /// owns their key, even if it was sent an earlier attempt and was not the owner then.
     pub fn owner_changed(&mut self, cx: &mut EntryContext, from: &str) {
@@ -385,17 +405,21 @@
     slot: &OperationSlot,
     verdict: RunVerdict,
 ) {
+    let detail = match slot.is_ended {
+        true => format!("this entry stops while {} has the call", slot.target),
+        false => format!("the deadline passed while {} had the call", slot.target),
+    };
     let refusal = RequestRefusal {
         verdict,
         reason: RefusalReason::Deadline,
-        detail: format!("the deadline passed while {} had the call", slot.target),
+        detail,
         retry_after_ms: Some(RETRY_AFTER_MS),
     };
     refuse(cx, request_id, refusal);
 }
 
 fn may_retry(slot: &OperationSlot, verdict: RunVerdict, code: RefusalCode) -> bool {
-    if slot.attempt >= MAX_ATTEMPTS {
+    if slot.attempt >= MAX_ATTEMPTS || slot.phase == OperationPhase::Cancelling {
         return false;
     }
     match code {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -2,7 +2,6 @@
 //! through one bounded queue.
 
 use std::collections::HashMap;
-use std::thread;
 use std::time::Duration;
 
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
@@ -20,7 +19,9 @@
 use crate::event::{EventKind, PendingEvent};
 use crate::fetch;
 use crate::messaging::{self, MessageSender, MessagingEvent};
-use crate::process::{on_shutdown_signal, spawn_thread, ProcessContext, ShutdownTracker, FLUSH_MS};
+use crate::process::{
+    on_shutdown_signal, spawn_thread, ProcessContext, ShutdownStep, ShutdownTracker, FLUSH_MS,
+};
 use crate::profile::CONFIG_PREFIX;
 use crate::store::etcd::EtcdStore;
 use crate::store::{prefix_end, PlatformItem, PlatformRequest, PlatformResponse, PlatformStore};
@@ -31,6 +32,9 @@
 const INPUT_QUEUE_CAPACITY: usize = 8_192;
 /// Maximum time that the state thread waits for an input, in milliseconds.
 const MAX_SLEEP_MS: u64 = 1_000;
+/// Time at the end of a graceful shutdown in which the requests in flight are answered, in
+/// milliseconds. It covers the wait for the agents' replies to cancellations.
+const ENDING_MS: u64 = 400;
 /// Pause before a failed read of the platform is retried, in milliseconds.
 const READ_RETRY_MS: u64 = 500;
 /// Time after which a watch is ended and the configuration read again, in milliseconds.
@@ -122,9 +126,16 @@
     drain_limit_ms: u64,
 ) -> eyre::Result<i32> {
     let clock = MonotonicClock::start();
-    let mut shutdown = ShutdownTracker::new(drain_limit_ms);
+    let mut shutdown = ShutdownTracker::new(drain_limit_ms, ENDING_MS);
+    let mut exit: Option<(i32, ClockTime)> = None;
     loop {
-        let sleep = state.next_wake().since(clock.now()).min(MAX_SLEEP_MS);
+        let now = clock.now();
+        let wake = match exit {
+            Some((_, flushed_at)) => flushed_at,
+            None => shutdown.next_wake(now),
+        };
+        let wake = wake.min(state.next_wake());
+        let sleep = wake.since(now).min(MAX_SLEEP_MS);
         let queued = match queued_inputs.recv_timeout(Duration::from_millis(sleep)) {
             Ok(queued) => queued,
             Err(RecvTimeoutError::Timeout) => QueuedInput::Input(EntryInput::Tick),
@@ -135,9 +146,20 @@
             shutdown.record_signal(now);
         }
         io.handle_input(&mut state, now, queued);
-        if let Some(code) = shutdown.exit_code(now, state.in_flight() == 0, state.in_flight()) {
-            thread::sleep(Duration::from_millis(FLUSH_MS));
-            return Ok(code);
+        // Until the last bytes are sent, callers that come late are refused.
+        if let Some((code, flushed_at)) = exit {
+            if now >= flushed_at {
+                return Ok(code);
+            }
+            continue;
+        }
+        match shutdown.step(now, state.in_flight() == 0, state.in_flight()) {
+            ShutdownStep::Continue => {}
+            ShutdownStep::EndRequests => {
+                let end = QueuedInput::Input(EntryInput::EndRequests);
+                io.handle_input(&mut state, now, end);
+            }
+            ShutdownStep::Exit(code) => exit = Some((code, now + FLUSH_MS)),
         }
     }
 }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -59,6 +59,8 @@
     VmsLeaving(Vec<String>),
     /// A graceful shutdown begins: new requests are refused.
     Drain,
+    /// A graceful shutdown ends: the requests in flight are answered.
+    EndRequests,
     /// Nothing but the passing of time: only the timers that are due are run.
     Tick,
 }
@@ -175,6 +177,10 @@
                 }
             }
             EntryInput::Drain => self.start_drain(),
+            EntryInput::EndRequests => {
+                self.generations.end_all(&mut self.cx);
+                self.operations.end_all(&mut self.cx);
+            }
             EntryInput::Tick => {}
         }
         self.run_timers();
--- a/src/process.rs
+++ b/src/process.rs
@@ -65,22 +65,41 @@
     }
 }
 
+/// What a graceful shutdown does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ShutdownStep {
+    /// The process runs on.
+    Continue,
+    /// The requests in flight are ended, each with an answer. Returned once.
+    EndRequests,
+    /// The process exits with this code.
+    Exit(i32),
+}
+
 /// State of a graceful shutdown. The shutdown starts with a signal. It ends when the process is
 /// idle, but not before a minimum duration; when the time limit is reached; or at a second signal.
+/// In the last two cases the requests in flight are ended first.
 #[derive(Clone, Copy, Debug)]
 pub struct ShutdownTracker {
     limit_ms: u64,
+    /// Time that the answers to the requests in flight may take, in milliseconds.
+    ending_ms: u64,
     /// Time of the first signal; `None` before it.
     started_at: Option<ClockTime>,
+    /// Time at which the requests in flight were ended, and their number.
+    ending: Option<(ClockTime, usize)>,
     signal_count: u32,
 }
 
 impl ShutdownTracker {
-    /// Creates the state before any signal. A shutdown may take at most `limit_ms` milliseconds.
-    pub fn new(limit_ms: u64) -> ShutdownTracker {
+    /// Creates the state before any signal. A shutdown may take at most `limit_ms` milliseconds, the
+    /// last `ending_ms` of which are for the answers to requests that outlast it.
+    pub fn new(limit_ms: u64, ending_ms: u64) -> ShutdownTracker {
         ShutdownTracker {
             limit_ms,
+            ending_ms,
             started_at: None,
+            ending: None,
             signal_count: 0,
         }
     }
@@ -91,19 +110,45 @@
         self.signal_count += 1;
     }
 
-    /// Returns the exit code once the process should exit, and logs how the shutdown ended; `None`
-    /// while it should run on. `in_flight` is the number of requests that an exit would cut short.
-    pub fn exit_code(&self, now: ClockTime, idle: bool, in_flight: usize) -> Option<i32> {
-        let elapsed_ms = now.since(self.started_at?);
+    /// Decides what to do at `now`, and logs how the shutdown ends. `in_flight` is the number of
+    /// requests that an exit would leave without an answer.
+    pub fn step(&mut self, now: ClockTime, idle: bool, in_flight: usize) -> ShutdownStep {
+        let Some(started_at) = self.started_at else {
+            return ShutdownStep::Continue;
+        };
+        if let Some((ending_since, requests)) = self.ending {
+            if in_flight > 0 && now.since(ending_since) < self.ending_ms {
+                return ShutdownStep::Continue;
+            }
+            spdlog::error!("event=shutdown_cut_short requests={requests} unanswered={in_flight}");
+            return ShutdownStep::Exit(EXIT_CUT_SHORT);
+        }
+        let elapsed_ms = now.since(started_at);
         if idle && elapsed_ms >= MIN_SHUTDOWN_MS {
             spdlog::info!("event=stopped code=0");
-            return Some(0);
+            return ShutdownStep::Exit(0);
         }
-        if elapsed_ms >= self.limit_ms || self.signal_count > 1 {
-            spdlog::error!("event=shutdown_cut_short requests={in_flight}");
-            return Some(EXIT_CUT_SHORT);
+        if elapsed_ms >= self.limit_ms.saturating_sub(self.ending_ms) || self.signal_count > 1 {
+            let signals = self.signal_count;
+            spdlog::warn!("event=shutdown_ending in_flight={in_flight} signals={signals}");
+            self.ending = Some((now, in_flight));
+            return ShutdownStep::EndRequests;
+        }
+        ShutdownStep::Continue
+    }
+
+    /// Time at which [`Self::step`] is due next, while `now` is the present time.
+    pub fn next_wake(&self, now: ClockTime) -> ClockTime {
+        let Some(started_at) = self.started_at else {
+            return ClockTime::NEVER;
+        };
+        let ending_at = started_at + self.limit_ms.saturating_sub(self.ending_ms);
+        let exit_at = self.ending.map(|(since, _)| since + self.ending_ms);
+        let idle_at = started_at + MIN_SHUTDOWN_MS;
+        match exit_at.unwrap_or(ending_at) {
+            due if now < idle_at => due.min(idle_at),
+            due => due,
         }
-        None
     }
 }
 
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -12,7 +12,8 @@
 use lynxcart::wire::gen::envelope::Body;
 use lynxcart::wire::gen::heartbeat::Role;
 use lynxcart::wire::gen::{
-    ConfigItem, Heartbeat, OperationReply, RefusalCode, RequestId, ServiceRole, WireVerdict,
+    ConfigItem, Heartbeat, OperationReply, OperationStruck, RefusalCode, RequestId, ServiceRole,
+    WireVerdict,
 };
 use lynxcart::wire::{IncomingMessage, RequestKey};
 
@@ -260,3 +261,63 @@
     entry.heartbeat(300, "agent-0", &[0, 1]);
     assert_eq!(entry.sent, []);
 }
+
+/// The agent says whether the request has run when it is asked to cancel it.
+#[test]
+fn request_that_is_ended_gets_the_verdict_of_its_agent_and_is_sent_no_more() {
+    let request = Some(RequestId {
+        high: 0,
+        low: u64::try_from(REQUEST.0).unwrap(),
+    });
+    for verdict in [RunVerdict::NotRun, RunVerdict::MayHaveRun] {
+        let mut entry = OneEntry::new();
+        entry.heartbeat(10, "agent-0", &[0, 1]);
+        entry.submit(20, "/issue", 3_000);
+        entry.handle(30, EntryInput::EndRequests);
+        assert_eq!(entry.answer, None, "the agent was not asked");
+        let struck = OperationStruck {
+            request,
+            attempt: 1,
+            verdict: WireVerdict::from(verdict).into(),
+        };
+        entry.receive(40, "agent-0", Body::OperationStruck(struck));
+        assert_eq!(entry.refusal().verdict, verdict);
+        entry.heartbeat(50, "agent-1", &[0, 1]);
+        assert_eq!(entry.sent, [("agent-0".to_owned(), 1)], "{verdict}");
+    }
+}
+
+#[test]
+fn request_that_is_ended_is_not_retried_after_a_refusal() {
+    let mut entry = OneEntry::new();
+    entry.heartbeat(10, "agent-0", &[0, 1]);
+    entry.heartbeat(10, "agent-1", &[0, 1]);
+    entry.submit(20, "/lookup/1", 3_000);
+    let agent = entry.sent[0].0.clone();
+    entry.handle(30, EntryInput::EndRequests);
+    entry.reply(40, &agent, 1, RefusalCode::Busy);
+    assert_eq!(entry.refusal().verdict, RunVerdict::NotRun);
+    assert_eq!(entry.sent.len(), 1, "sent after the end");
+}
+
+#[test]
+fn request_that_is_ended_is_refused_though_its_agent_is_silent() {
+    let mut entry = OneEntry::new();
+    entry.heartbeat(10, "agent-0", &[0, 1]);
+    entry.submit(20, "/issue", 3_000);
+    entry.handle(30, EntryInput::EndRequests);
+    entry.tick(entry.state.next_wake().0);
+    assert_eq!(entry.refusal().verdict, RunVerdict::MayHaveRun);
+    assert_eq!(entry.state.in_flight(), 0);
+}
+
+#[test]
+fn request_that_waits_for_an_owner_is_refused_when_it_is_ended() {
+    let mut entry = OneEntry::new();
+    entry.heartbeat(10, "agent-0", &[]);
+    entry.submit(20, "/issue", 3_000);
+    entry.handle(30, EntryInput::EndRequests);
+    assert_eq!(entry.refusal().reason, RefusalReason::NoUpstream);
+    entry.heartbeat(40, "agent-0", &[0, 1]);
+    assert_eq!(entry.sent, []);
+}
