Test that a stop delivers a replica's error that is held

A lookup that failed at one replica and was being retried at a slow one when the stop ended gets the error of the first.

--- a/standins/tests/planned_stop.rs
+++ b/standins/tests/planned_stop.rs
@@ -315,3 +315,38 @@
         assert!(answer.is_whole() && answer.status() == 503, "{answer:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn error_of_a_replica_is_delivered_when_its_retry_outlasts_a_stop() {
+    let (mut site, slow) = start_slow_site("stop-error", 20_000).await;
+    let error = "HTTP/1.1 500 Internal Server Error\r\nx-attempt-id: {id}\r\n\
+        x-replica-stamp: stamp\r\ncontent-length: 6\r\n\r\nfailed";
+    let failing = RawReplica::start(RawBehaviour::Writes(error), Some(0))
+        .await
+        .expect("the replica should start");
+    failing.register_as("i-failing", &site.store, &site.replicas, 0);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let address = site.gateways[0].process.http_address;
+    let mut callers = Vec::new();
+    for number in 0..20_u64 {
+        callers.push(tokio::spawn(async move {
+            ask(address, "/lookup/x", &format!("n{number}"), 0, 0).await
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    signal(&site);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    signal(&site);
+    let exit = site.gateways[0].process.wait_for_exit(GRACE / 2);
+    assert_eq!(exit.expect("it should not wait any longer"), CUT_SHORT);
+    let (failed, retried) = (failing.received(), slow.received());
+    let mut delivered = 0;
+    for answer in join_all(callers).await.into_iter().flatten() {
+        assert!(answer.is_whole(), "{answer:?}");
+        if failed.contains(&answer.id) && retried.contains(&answer.id) {
+            assert_eq!(answer.status(), 500, "{answer:?}");
+            delivered += 1;
+        }
+    }
+    assert!(delivered > 0, "no request was sent to both replicas");
+}
