Read on after a refusal so that it is not reset away

What callers saw: a request that was refused before its body was read (no route, unknown key, too large, too late, no room, a VM that stops) ended with a reset. A caller that was still sending failed in its write, and may have lost the answer; on a kept connection its next request met a close that no answer had announced.

Cause: the rest of the body was dropped unread. Hyper then reads once, shuts the connection down and drops it, and the kernel answers unread bytes with a reset. This is the class of faults of any answer that ends its connection while the peer still sends (RFC 9112, section 9.6).

Evidence: standins/tests/refused_body.rs. Of the tests, the one on reuse is for bodies with a length now; another asserts what holds for those without: the refusal says that its connection is closed.

Fix: the refusal is written at once, and the rest of the body is read and discarded behind it. The connection stays in phase Body meanwhile, so that it goes first when there are too many; it holds no bytes, and is bounded by the largest legal body, by time and by a silence. A complete body of a known length leaves the connection usable. Otherwise the connection is closed, which the refusal says where it is known: the write side first, and what still comes is read until the caller closes or a time has passed. Connections that are closed while idle are not read on. A planned stop waits for refused bodies as it does for answers.

A request's record may outlast the beginning of the next request on its connection, now that the body is read beside the answer; requests are numbered so that the end of one does not end the next.

event=refused_body_discarded and lynxcart_refused_bodies_total tell how the reading ended.

--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -96,6 +96,12 @@
         self.lock().ledger.unwritten()
     }
 
+    /// Number of connections on which the rest of a refused body is read and discarded, or was not read
+    /// to its end.
+    pub fn discarding(&self) -> usize {
+        self.lock().ledger.discarding()
+    }
+
     fn carry_out(&self, inner: &TableInner, evictions: &[Eviction]) {
         for eviction in evictions {
             let phase: &'static str = eviction.phase.into();
@@ -155,8 +161,17 @@
     /// Begins to read the body of a request.
     pub fn begin_request(&self) -> CallerRequest {
         let now = BootClock.now();
-        self.table.lock().ledger.begin_body(now, self.key);
-        CallerRequest(self.clone())
+        let mut inner = self.table.lock();
+        inner.ledger.begin_body(now, self.key);
+        CallerRequest {
+            connection: self.clone(),
+            number: inner.ledger.last_request(self.key),
+        }
+    }
+
+    /// Whether the connection is to be read on for a while once no more will be written.
+    pub fn lingers(&self) -> bool {
+        self.table.lock().ledger.lingers(self.key)
     }
 
     /// Whether the caller has closed the connection. The event loop learns of that later when it is
@@ -207,31 +222,60 @@
 
 /// A request on a caller's connection. Dropping it ends the request.
 #[derive(Debug)]
-pub struct CallerRequest(CallerConnection);
+pub struct CallerRequest {
+    connection: CallerConnection,
+    /// Tells it from the next request on the connection, which may begin before this one is dropped.
+    number: Option<u32>,
+}
 
 impl Drop for CallerRequest {
     fn drop(&mut self) {
         let now = BootClock.now();
-        let mut inner = self.0.table.lock();
-        inner.ledger.end_request(now, self.0.key);
+        let (mut inner, key) = (self.connection.table.lock(), self.connection.key);
+        if inner.ledger.last_request(key) == self.number {
+            inner.ledger.end_request(now, key);
+        }
     }
 }
 
 impl CallerRequest {
     /// The connection that the request came on.
     pub fn connection(&self) -> &CallerConnection {
-        &self.0
+        &self.connection
     }
 
     /// Records that the body is complete. Returns false if the request was given up.
     pub fn begin_service(&self) -> bool {
         let now = BootClock.now();
-        self.0.table.lock().ledger.begin_service(now, self.0.key)
+        let mut inner = self.connection.table.lock();
+        inner.ledger.begin_service(now, self.connection.key)
+    }
+
+    /// Records that the request is refused and the rest of its body is to be read and discarded.
+    /// Returns false if there is no room for that.
+    pub fn begin_discard(&self) -> bool {
+        let (mut inner, key) = (self.connection.table.lock(), self.connection.key);
+        let has_room = inner.ledger.begin_discard(key);
+        if has_room {
+            // It may be given up once more.
+            inner.signals[key.index()].send_replace(None);
+        }
+        has_room
+    }
+
+    /// Records that the body of the refused request was read to its end.
+    pub fn end_discard(&self) {
+        let (mut inner, key) = (self.connection.table.lock(), self.connection.key);
+        if inner.ledger.last_request(key) == self.number {
+            inner.ledger.end_discard(key);
+        }
     }
 
     /// Waits until the request is given up while its body is read.
     pub async fn wait_for_eviction(&self) {
-        self.0.wait_for(|phase| phase == CallerPhase::Body).await;
+        self.connection
+            .wait_for(|phase| phase == CallerPhase::Body)
+            .await;
     }
 }
 
@@ -277,7 +321,7 @@
             let capacity = (self.data.capacity() * 2).max(MIN_BODY_CAPACITY);
             let capacity = capacity.min(self.max_bytes).max(len);
             let added = capacity - self.data.capacity();
-            let connection = &self.request.0;
+            let connection = &self.request.connection;
             let is_granted = connection
                 .table
                 .decide(|ledger, _| ledger.grow_body(connection.key, added));
--- a/src/gateway/caller_ledger.rs
+++ b/src/gateway/caller_ledger.rs
@@ -5,13 +5,10 @@
 //! Only requests that have not been read completely are given up, the largest first, so that a caller
 //! with a small request always finds room. Requests that are served keep what they have.
 
-use strum::{Display, IntoStaticStr};
-
 use crate::clock::ClockTime;
+use crate::gateway::caller_record::CallerRecord;
+pub use crate::gateway::caller_record::{CallerKey, CallerPhase, Eviction, CONNECTION_BYTES};
 
-/// What an open connection takes besides the bytes that are counted one by one: its read buffer and
-/// its task, bytes.
-pub const CONNECTION_BYTES: usize = 16 * 1024;
 /// Part of an answer for which there is always room, bytes: refusing an answer that an upstream has
 /// made serves nobody.
 const SMALL_ANSWER_BYTES: usize = 64 * 1024;
@@ -39,50 +36,6 @@
     pub idle_ms: u64,
 }
 
-/// A connection of a caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CallerKey {
-    index: u32,
-    generation: u32,
-}
-
-impl CallerKey {
-    /// Position in the arena of connections, which a later connection may take.
-    pub fn index(self) -> usize {
-        self.index as usize
-    }
-}
-
-/// What a connection is doing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum CallerPhase {
-    /// No byte of a request has arrived since the last one.
-    Idle,
-    /// Part of a request's head has arrived.
-    Head,
-    /// The head is complete, the body is not.
-    Body,
-    /// The request is complete and being served.
-    Served,
-}
-
-impl CallerPhase {
-    /// Whether the connection may be given up to make room: nothing of its request is served yet.
-    fn is_reading(self) -> bool {
-        matches!(self, CallerPhase::Head | CallerPhase::Body)
-    }
-}
-
-/// A connection that has to be given up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Eviction {
-    /// The connection. It counts until it is closed.
-    pub key: CallerKey,
-    /// What it was doing: the caller of a [`CallerPhase::Body`] gets a refusal.
-    pub phase: CallerPhase,
-}
-
 /// Who asks for room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RoomUser {
@@ -113,36 +66,6 @@
     pub evictions: Vec<Eviction>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct CallerRecord {
-    phase: CallerPhase,
-    /// When the phase began.
-    since: ClockTime,
-    /// Bytes of the request that is being read or served.
-    request_bytes: usize,
-    /// Bytes of answers that the caller has not taken.
-    answer_bytes: usize,
-    /// Whether bytes could not be written since the caller does not read.
-    is_unwritten: bool,
-    /// Whether the connection was given up and is not closed yet.
-    is_evicted: bool,
-}
-
-impl CallerRecord {
-    /// Bytes that count. Nothing of a connection that was given up does, for it is about to go.
-    fn held_bytes(&self) -> usize {
-        let request_bytes = match self.is_evicted {
-            true => 0,
-            false => CONNECTION_BYTES + self.request_bytes,
-        };
-        request_bytes + self.answer_bytes
-    }
-
-    fn can_be_idle(&self) -> bool {
-        self.phase == CallerPhase::Idle && !self.is_unwritten && self.answer_bytes == 0
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct CallerSlot {
     generation: u32,
@@ -192,6 +115,13 @@
         records.filter(|record| record.is_unwritten).count()
     }
 
+    /// Number of connections on which the rest of a refused body is read and discarded, or was not read
+    /// to its end.
+    pub fn discarding(&self) -> usize {
+        let records = self.slots.iter().filter_map(|slot| slot.record);
+        records.filter(|record| record.is_discarding).count()
+    }
+
     /// Makes room for one request of the largest size that the configuration allows, whatever the
     /// bound says: alone it is always served.
     pub fn ensure_room(&mut self, header_bytes: usize, body_bytes: usize) {
@@ -222,9 +152,11 @@
         let record = CallerRecord {
             phase: CallerPhase::Idle,
             since: now,
+            requests: 0,
             request_bytes: 0,
             answer_bytes: 0,
             is_unwritten: false,
+            is_discarding: false,
             is_evicted: false,
         };
         let index = self.free.pop().unwrap_or_else(|| {
@@ -281,6 +213,15 @@
     /// Records that a head is complete. Its bytes belong to the request now.
     pub fn begin_body(&mut self, now: ClockTime, key: CallerKey) {
         self.set_phase(now, key, CallerPhase::Body);
+        if let Some(record) = self.record_mut(key) {
+            record.is_discarding = false;
+            record.requests = record.requests.wrapping_add(1);
+        }
+    }
+
+    /// Number of the request that was begun last on a connection.
+    pub fn last_request(&self, key: CallerKey) -> Option<u32> {
+        self.record(key).map(|record| record.requests)
     }
 
     /// Asks for room for more bytes of a body.
@@ -298,6 +239,40 @@
         is_open
     }
 
+    /// Records that a request was refused before its body was read, the rest of which is to be read and
+    /// discarded. What it held is free. Returns false if the connection was given up and there is no
+    /// room for it.
+    pub fn begin_discard(&mut self, key: CallerKey) -> bool {
+        let Some(record) = self.record_mut(key) else {
+            return false;
+        };
+        assert_eq!(record.phase, CallerPhase::Body, "a request was refused");
+        let freed = std::mem::take(&mut record.request_bytes);
+        if !record.is_evicted {
+            self.held_bytes -= freed;
+        }
+        let has_room = self.readmit(key);
+        if has_room {
+            let record = self.record_mut(key).expect("the connection is open");
+            record.is_discarding = true;
+        }
+        has_room
+    }
+
+    /// Records that a body which is discarded was read to its end.
+    pub fn end_discard(&mut self, key: CallerKey) {
+        if let Some(record) = self.record_mut(key) {
+            record.is_discarding = false;
+        }
+    }
+
+    /// Whether the connection is to be read on for a while once its answer is written and no more will
+    /// be, since the rest of a refused body may still come.
+    pub fn lingers(&self, key: CallerKey) -> bool {
+        let record = self.record(key);
+        record.is_some_and(|record| record.is_discarding && !record.is_evicted)
+    }
+
     /// Records that a request has ended and its bytes are free. What is still to be written of its
     /// answer counts separately.
     pub fn end_request(&mut self, now: ClockTime, key: CallerKey) {
@@ -460,6 +435,24 @@
         Eviction { key, phase }
     }
 
+    /// Counts a connection that was given up again, if there is room for it. Returns whether it counts.
+    fn readmit(&mut self, key: CallerKey) -> bool {
+        let record = self.record(key).expect("the connection is open");
+        if !record.is_evicted {
+            return true;
+        }
+        let bytes = CONNECTION_BYTES + record.request_bytes;
+        let has_room = self.open - self.evicted < self.room.connections
+            && self.held_bytes + bytes <= self.room.bytes;
+        if has_room {
+            self.held_bytes += bytes;
+            self.evicted -= 1;
+            let record = self.record_mut(key).expect("the connection is open");
+            record.is_evicted = false;
+        }
+        has_room
+    }
+
     fn set_phase(&mut self, now: ClockTime, key: CallerKey, phase: CallerPhase) {
         if let Some(record) = self.record_mut(key) {
             record.phase = phase;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -22,6 +22,7 @@
 use crate::gateway::crash_ledger::CrashSeries;
 use crate::gateway::part_ledger::{PartVerdict, PromptPart, SuspectRun};
 use crate::gateway::permit::acquire_permit;
+use crate::gateway::refused_body::RefusedBody;
 use crate::gateway::relay;
 use crate::gateway::reserved_target::ReservedTarget;
 use crate::gateway::response::{collect_response, record_response, refuse, GatewayBody};
@@ -147,32 +148,18 @@
     caller: CallerRequest,
 ) -> Response<GatewayBody> {
     let received_at = gateway.clock.now();
-    let (parts, body) = request.into_parts();
+    let (parts, mut rest) = request.into_parts();
     let meta = request_meta(&parts.headers);
-    if gateway.rejects_new_requests() {
-        let refusal = RequestRefusal::not_run(RefusalReason::Draining, "this VM is stopping");
-        return refuse(
-            gateway,
-            &meta.id,
-            received_at,
-            &refusal.retry_after(SHUTDOWN_RETRY_AFTER_MS),
-        );
-    }
-    // The limit is that of the configuration in force, also on connections that are older.
-    if head_bytes(&parts) > gateway.state().routes.config().limits.header_bytes {
-        let detail = "the request line and headers are larger than the limit";
-        let refusal = RequestRefusal::not_run(RefusalReason::HeadersTooLarge, detail);
-        return refuse(gateway, &meta.id, received_at, &refusal);
-    }
-    let admitted = match admit(gateway, received_at, &parts, &meta) {
-        Ok(admitted) => admitted,
-        Err(refusal) => return refuse(gateway, &meta.id, received_at, &refusal),
-    };
-    let in_flight = InFlightGuard::begin(gateway);
-    let body = match read_body(gateway, &admitted, body, &caller).await {
-        Ok(body) => body,
-        Err(refusal) => return refuse(gateway, &meta.id, received_at, &refusal),
-    };
+    let (admitted, in_flight, body) =
+        match read_request(gateway, received_at, &parts, &meta, &mut rest, &caller).await {
+            Ok(request) => request,
+            Err(refusal) => {
+                let mut response = refuse(gateway, &meta.id, received_at, &refusal);
+                let refused = RefusedBody { rest, caller };
+                refused.discard(gateway, &parts, &meta.id, &mut response);
+                return response;
+            }
+        };
     let fingerprint = fingerprint(&admitted, &parts, &body);
     let shared_parts = meta.shared_parts.iter();
     let shared_parts = shared_parts.map(|id| PromptPart::new(&admitted.service, *id));
@@ -195,6 +182,35 @@
     serve(gateway, context).await
 }
 
+/// Admits a request and reads its body.
+///
+/// # Errors
+///
+/// The refusal, after which the rest of the body has not been read.
+async fn read_request(
+    gateway: &Arc<Gateway>,
+    received_at: ClockTime,
+    parts: &Parts,
+    meta: &RequestMeta,
+    body: &mut Incoming,
+    caller: &CallerRequest,
+) -> Result<(AdmittedRequest, InFlightGuard, Bytes), RequestRefusal> {
+    if gateway.rejects_new_requests() {
+        let refusal = RequestRefusal::not_run(RefusalReason::Draining, "this VM is stopping");
+        return Err(refusal.retry_after(SHUTDOWN_RETRY_AFTER_MS));
+    }
+    // The limit is that of the configuration in force, also on connections that are older.
+    if head_bytes(parts) > gateway.state().routes.config().limits.header_bytes {
+        let detail = "the request line and headers are larger than the limit";
+        let refusal = RequestRefusal::not_run(RefusalReason::HeadersTooLarge, detail);
+        return Err(refusal);
+    }
+    let admitted = admit(gateway, received_at, parts, meta)?;
+    let in_flight = InFlightGuard::begin(gateway);
+    let body = read_body(gateway, &admitted, body, caller).await?;
+    Ok((admitted, in_flight, body))
+}
+
 /// Size of a request's head, bytes, as a caller writes it.
 fn head_bytes(parts: &Parts) -> usize {
     /// The spaces, the version and the line end of a request line, and the line end of the head.
@@ -216,7 +232,7 @@
 async fn read_body(
     gateway: &Gateway,
     admitted: &AdmittedRequest,
-    body: Incoming,
+    body: &mut Incoming,
     caller: &CallerRequest,
 ) -> Result<Bytes, RequestRefusal> {
     let max_bytes = gateway.state().routes.config().limits.body_bytes;
@@ -240,7 +256,7 @@
 }
 
 async fn collect_body(
-    mut body: Incoming,
+    body: &mut Incoming,
     caller: &CallerRequest,
     max_bytes: usize,
 ) -> Result<Bytes, RequestRefusal> {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -114,10 +114,11 @@
         *self.shutdown.borrow() == ShutdownPhase::Closing
     }
 
-    /// Number of requests that are being served, or whose answers are not written completely.
+    /// Number of requests that are being served, whose answers are not written completely, or that were
+    /// refused while their bodies are still coming.
     fn in_flight(&self) -> usize {
         let served = usize::try_from(self.metrics.in_flight.get()).unwrap_or(0);
-        served + self.callers.unwritten()
+        served + self.callers.unwritten() + self.callers.discarding()
     }
 
     /// Whether responses close their connection, so that callers move to another VM: during a
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -30,6 +30,8 @@
     /// Number of callers' connections that were given up, or not accepted, for want of room, by what
     /// they were doing.
     pub caller_evictions: IntCounterVec,
+    /// Number of refused requests whose bodies were discarded after the refusal, by how that ended.
+    pub refused_bodies: IntCounterVec,
     /// Number of a gateway's requests that wait for free capacity at the upstreams.
     pub waiting_requests: IntGauge,
     /// Waits of requests that found free capacity only later or not at all, by priority and result.
@@ -106,6 +108,13 @@
             ),
             &["phase"],
         )?;
+        let refused_bodies = IntCounterVec::new(
+            Opts::new(
+                "lynxcart_refused_bodies_total",
+                "Bodies discarded after the refusal of their requests, by how that ended.",
+            ),
+            &["end"],
+        )?;
         let waiting_requests = IntGauge::new(
             "lynxcart_waiting_requests",
             "Requests that wait for free capacity.",
@@ -152,6 +161,7 @@
         registry.register(Box::new(caller_bytes.clone()))?;
         registry.register(Box::new(caller_connections.clone()))?;
         registry.register(Box::new(caller_evictions.clone()))?;
+        registry.register(Box::new(refused_bodies.clone()))?;
         registry.register(Box::new(waiting_requests.clone()))?;
         registry.register(Box::new(room_waits.clone()))?;
         registry.register(Box::new(own_delay_ms.clone()))?;
@@ -169,6 +179,7 @@
             caller_bytes,
             caller_connections,
             caller_evictions,
+            refused_bodies,
             waiting_requests,
             room_waits,
             own_delay_ms,
@@ -197,6 +208,11 @@
         self.caller_evictions.with_label_values(&[phase]).inc();
     }
 
+    /// Counts a body that was discarded after the refusal of its request, by how that ended.
+    pub fn count_refused_body(&self, end: &str) {
+        self.refused_bodies.with_label_values(&[end]).inc();
+    }
+
     /// Returns the current values in the Prometheus text format.
     pub fn prometheus_text(&self) -> String {
         let mut buffer = Vec::new();
--- a/standins/tests/crowd.rs
+++ b/standins/tests/crowd.rs
@@ -42,6 +42,8 @@
     SmallChunks,
     /// Part of a head.
     Head,
+    /// A body of legal size of a request that is refused at its head.
+    Refused,
 }
 
 struct CrowdCase {
@@ -89,6 +91,12 @@
         clients: 40,
         bytes: 80 * 1024,
     },
+    CrowdCase {
+        name: "refused",
+        shape: CrowdShape::Refused,
+        clients: 300,
+        bytes: MAX_BODY_BYTES / 4,
+    },
     CrowdCase {
         name: "heads",
         shape: CrowdShape::Head,
@@ -100,13 +108,20 @@
 impl CrowdShape {
     fn head(self, id: &str, bytes: usize) -> String {
         let framing = match self {
-            CrowdShape::Whole | CrowdShape::Pieces | CrowdShape::AnnouncedOver => {
+            CrowdShape::Whole
+            | CrowdShape::Pieces
+            | CrowdShape::AnnouncedOver
+            | CrowdShape::Refused => {
                 format!("content-length: {bytes}\r\n")
             }
             _ => String::from("transfer-encoding: chunked\r\n"),
         };
+        let path = match self {
+            CrowdShape::Refused => "/none/x",
+            _ => "/lookup/x",
+        };
         format!(
-            "POST /lookup/x HTTP/1.1\r\nhost: site.example\r\nx-attempt-id: {id}\r\n\
+            "POST {path} HTTP/1.1\r\nhost: site.example\r\nx-attempt-id: {id}\r\n\
              x-api-key: {API_KEY}\r\nx-deadline-ms: 60000\r\n{framing}\r\n"
         )
     }
@@ -302,6 +317,11 @@
     check_shape(CrowdShape::SmallChunks).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_bodies_without_an_end_leave_room_for_others() {
+    check_shape(CrowdShape::Refused).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_without_an_end_leave_room_for_others() {
     check_shape(CrowdShape::Head).await;
--- a/standins/tests/refused_body.rs
+++ b/standins/tests/refused_body.rs
@@ -32,6 +32,7 @@
     path: &'static str,
     key: &'static str,
     extra: &'static str,
+    deadline_ms: u64,
     framing: Framing,
     body_bytes: usize,
 }
@@ -42,6 +43,7 @@
             path,
             key,
             extra: "",
+            deadline_ms: 20_000,
             framing: Framing::Length,
             body_bytes,
         }
@@ -54,8 +56,8 @@
         };
         format!(
             "POST {} HTTP/1.1\r\nhost: site.example\r\nx-attempt-id: {id}\r\nx-api-key: {}\r\n\
-             x-deadline-ms: 20000\r\n{}{framing}\r\n\r\n",
-            self.path, self.key, self.extra
+             x-deadline-ms: {}\r\n{}{framing}\r\n\r\n",
+            self.path, self.key, self.deadline_ms, self.extra
         )
     }
 
@@ -188,15 +190,48 @@
 }
 
 async fn start_site(name: &str) -> TestSite {
+    start_site_with(name, MAX_BODY_BYTES, &[]).await
+}
+
+async fn start_site_with(
+    name: &str,
+    max_body_bytes: usize,
+    settings: &[(&'static str, String)],
+) -> TestSite {
     let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("refused-body-{name}"));
-    let mut site = TestSite::start(logs, 1)
+    let mut site = TestSite::start_with(logs, 1, settings)
         .await
         .expect("the site should start");
-    site.set_limits(json!({"max_body_bytes": MAX_BODY_BYTES, "max_header_bytes": 16_384}));
+    site.set_limits(json!({"max_body_bytes": max_body_bytes, "max_header_bytes": 16_384}));
     tokio::time::sleep(Duration::from_millis(CONFIG_MS)).await;
     site
 }
 
+/// Lets each caller send a body in two halves with a pause between them, all at once. Returns the
+/// status of each answer, `None` for one that is lost.
+async fn send_in_halves(
+    streams: Vec<TcpStream>,
+    request: RefusedRequest,
+    pause_ms: u64,
+) -> Vec<Option<u16>> {
+    let callers = streams
+        .into_iter()
+        .enumerate()
+        .map(|(number, stream)| async move {
+            let mut stream = stream;
+            let body = request.body();
+            let (first, rest) = body.split_at(body.len() / 2);
+            let head = request.head(&format!("halves-{number}"));
+            send_bytes(&mut stream, head.as_bytes()).await?;
+            send_bytes(&mut stream, first).await?;
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            send_bytes(&mut stream, rest).await?;
+            let answer = read_answer(&mut stream).await?;
+            (!is_reset(&stream).await).then_some(answer.status)
+        });
+    join_all(callers).await
+}
+
 /// Lets callers send a request that is refused, some of them at once. Returns how many of them get no
 /// answer.
 async fn count_lost(site: &TestSite, request: RefusedRequest, is_kept: bool, status: u16) -> usize {
@@ -327,39 +362,49 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn connection_serves_on_after_a_refused_body_of_legal_size() {
     let site = start_site("reuse").await;
-    for framing in [Framing::Length, Framing::Chunked] {
-        let refused = RefusedRequest {
-            framing,
-            ..RefusedRequest::new("/none/x", API_KEY, 900_000)
-        };
-        let next = RefusedRequest::new("/lookup/x", API_KEY, 700);
-        let (mut kept, mut number) = (0, 0);
-        let mut stream = connect(&site).await;
-        while kept < 10 {
-            number += 1;
-            let id = format!("{framing:?}-{number}");
-            // The next request follows the body at once.
-            let mut message = refused.head(&id).into_bytes();
-            message.extend(refused.body());
-            message.extend(next.head(&format!("{id}-next")).bytes());
-            message.extend(next.body());
-            let _ = send_bytes(&mut stream, &message).await;
-            let answers = read_answers(&mut stream, 2).await;
-            let refusal = answers.first().expect("the refusal should come");
-            assert_eq!(refusal.status, 404, "{id}");
-            // Each answer closes its connection while the configuration may be outdated.
-            if refusal.closes || answers.get(1).is_some_and(|answer| answer.closes) {
-                stream = connect(&site).await;
-                continue;
-            }
-            assert_eq!(answers.len(), 2, "{id}: the next request is not answered");
-            assert_eq!(
-                (answers[1].status, answers[1].body.len()),
-                (200, 700),
-                "{id}"
-            );
-            kept += 1;
+    let refused = RefusedRequest::new("/none/x", API_KEY, 900_000);
+    let next = RefusedRequest::new("/lookup/x", API_KEY, 700);
+    let (mut kept, mut number) = (0, 0);
+    let mut stream = connect(&site).await;
+    while kept < 20 {
+        number += 1;
+        let id = format!("reuse-{number}");
+        // The next request follows the body at once.
+        let mut message = refused.head(&id).into_bytes();
+        message.extend(refused.body());
+        message.extend(next.head(&format!("{id}-next")).bytes());
+        message.extend(next.body());
+        let _ = send_bytes(&mut stream, &message).await;
+        let answers = read_answers(&mut stream, 2).await;
+        let refusal = answers.first().expect("the refusal should come");
+        assert_eq!(refusal.status, 404, "{id}");
+        // Each answer closes its connection while the configuration may be outdated.
+        if refusal.closes || answers.get(1).is_some_and(|answer| answer.closes) {
+            stream = connect(&site).await;
+            continue;
         }
+        let statuses: Vec<u16> = answers.iter().map(|answer| answer.status).collect();
+        assert_eq!(statuses, [404, 200], "{id}");
+        assert_eq!(answers[1].body.len(), 700, "{id}");
+        kept += 1;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_a_body_without_a_length_says_that_its_connection_is_closed() {
+    let site = start_site("no-length").await;
+    for body_bytes in [100, 8_000, 900_000] {
+        let request = RefusedRequest {
+            framing: Framing::Chunked,
+            ..RefusedRequest::new("/none/x", API_KEY, body_bytes)
+        };
+        let mut stream = open(&site, true, &format!("{body_bytes}")).await;
+        let answer = send(&mut stream, &request, &format!("no-length-{body_bytes}")).await;
+        let answer = answer.expect("a refusal");
+        assert_eq!((answer.status, answer.closes), (404, true), "{body_bytes}");
+        let end = tokio::time::timeout(READ_LIMIT, stream.read(&mut [0])).await;
+        let read = end.expect("the connection should end");
+        assert_eq!(read.ok(), Some(0), "{body_bytes}");
     }
 }
 
@@ -418,30 +463,24 @@
     tokio::time::sleep(Duration::from_millis(CLOSING_MS - 200)).await;
     let streams: Vec<TcpStream> = join_all((0..CALLERS).map(|_| connect(&site))).await;
     tokio::time::sleep(Duration::from_millis(400)).await;
-    let callers = streams
-        .into_iter()
-        .enumerate()
-        .map(|(number, stream)| async move {
-            let mut stream = stream;
-            let request = RefusedRequest::new("/lookup/x", API_KEY, 900_000);
-            let body = request.body();
-            let (first, rest) = body.split_at(body.len() / 2);
-            let id = format!("stop-{number}");
-            send_bytes(&mut stream, request.head(&id).as_bytes()).await?;
-            send_bytes(&mut stream, first).await?;
-            // Past the end of a stop without requests.
-            tokio::time::sleep(Duration::from_millis(800)).await;
-            send_bytes(&mut stream, rest).await?;
-            read_answer(&mut stream).await.map(|answer| answer.status)
-        });
-    let statuses = join_all(callers).await;
-    let lost = statuses
-        .iter()
-        .filter(|status| **status != Some(503))
-        .count();
-    assert_eq!(lost, 0, "lost, of {CALLERS} callers: {statuses:?}");
+    let request = RefusedRequest::new("/lookup/x", API_KEY, 900_000);
+    // Past the end of a stop without requests.
+    let statuses = send_in_halves(streams, request, 800).await;
+    assert_eq!(statuses, vec![Some(503); CALLERS]);
     let code = site.gateways[0]
         .process
         .wait_for_exit(Duration::from_secs(10));
     assert_eq!(code.expect("the gateway should exit"), 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_a_body_that_comes_too_late_reaches_callers_that_are_still_sending() {
+    let site = start_site("late").await;
+    let request = RefusedRequest {
+        deadline_ms: 300,
+        ..RefusedRequest::new("/lookup/x", API_KEY, 900_000)
+    };
+    let streams = join_all((0..CALLERS).map(|_| connect(&site))).await;
+    let statuses = send_in_halves(streams, request, 600).await;
+    assert!(!statuses.contains(&None), "{statuses:?}");
+}
--- a/tests/gateway/caller_ledger.rs
+++ b/tests/gateway/caller_ledger.rs
@@ -123,6 +123,59 @@
     ledger.check_totals();
 }
 
+#[test]
+fn refused_request_holds_no_bytes_while_its_body_is_discarded() {
+    let mut ledger = ledger(512 * KIB, 2);
+    let refused = upload(&mut ledger, 0, 300 * KIB);
+    assert!(ledger.begin_discard(refused));
+    assert_eq!(ledger.held_bytes(), CONNECTION_BYTES);
+    assert_eq!(ledger.discarding(), 1);
+    assert!(ledger.lingers(refused));
+    // It goes first when there are too many connections.
+    let other = open(&mut ledger, 0);
+    let (key, evictions) = ledger.open(ClockTime(1_500));
+    assert!(key.is_some());
+    assert_eq!(evictions[0].key, refused);
+    assert!(!ledger.lingers(refused));
+    ledger.check_totals();
+    ledger.close(refused);
+    ledger.close(other);
+    assert_eq!(ledger.discarding(), 0);
+    ledger.check_totals();
+}
+
+#[test]
+fn request_given_up_for_its_bytes_is_read_on_if_its_connection_has_room() {
+    let mut ledger = ledger(512 * KIB, 2);
+    let given_up = upload(&mut ledger, 0, 300 * KIB);
+    let other = open(&mut ledger, 1);
+    ledger.begin_body(ClockTime(1), other);
+    let decision = ledger.grow_body(other, 250 * KIB);
+    assert_eq!(decision.evictions[0].key, given_up);
+    assert!(ledger.begin_discard(given_up));
+    assert_eq!(ledger.held_bytes(), 2 * CONNECTION_BYTES + 250 * KIB);
+    ledger.check_totals();
+    // Once its body is complete, the connection serves the next request.
+    ledger.end_discard(given_up);
+    ledger.end_request(ClockTime(2), given_up);
+    assert!(!ledger.lingers(given_up));
+    ledger.begin_body(ClockTime(3), given_up);
+    assert!(ledger.begin_service(ClockTime(3), given_up));
+    ledger.check_totals();
+}
+
+#[test]
+fn request_given_up_for_another_connection_is_not_read_on() {
+    let mut ledger = ledger(10_000 * KIB, 1);
+    let given_up = upload(&mut ledger, 0, KIB);
+    let (key, evictions) = ledger.open(ClockTime(5_000));
+    assert!(key.is_some());
+    assert_eq!(evictions[0].key, given_up);
+    assert!(!ledger.begin_discard(given_up));
+    assert!(!ledger.lingers(given_up));
+    ledger.check_totals();
+}
+
 #[test]
 fn answers_come_before_requests_that_are_being_read() {
     let mut ledger = ledger(512 * KIB, 100);
@@ -248,7 +301,7 @@
 proptest! {
     #[test]
     fn totals_fit_and_the_bound_holds_in_random_runs(
-        steps in proptest::collection::vec((0_u8..8, 0_usize..12, 1_usize..60_000), 1..300),
+        steps in proptest::collection::vec((0_u8..9, 0_usize..12, 1_usize..60_000), 1..300),
     ) {
         const BOUND: usize = 400_000;
         const CONNECTIONS: usize = 8;
@@ -278,6 +331,12 @@
                         ledger.close(key);
                         keys.swap_remove(which % len);
                     }
+                    8 => {
+                        ledger.begin_body(now, key);
+                        ledger.grow_body(key, bytes);
+                        let is_counted = ledger.begin_discard(key);
+                        prop_assert_eq!(ledger.lingers(key), is_counted);
+                    }
                     _ => {}
                 }
             }
