Log and count connections that are closed for being idle

A connection that the gateway closed after idle_timeout_ms or header_timeout_ms left no trace, so that a caller whose request crossed such a close could not be told from one whose connection failed. Each pass that closes some logs one line, event=callers_expired with their numbers and the times in force, and lynxcart_caller_expiries_total counts them by phase.

--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -85,9 +85,24 @@
         let now = BootClock.now();
         let mut inner = self.lock();
         let evictions = inner.ledger.expire(now, timeouts);
-        for eviction in evictions {
+        for eviction in &evictions {
+            let phase: &'static str = eviction.phase.into();
+            self.0.metrics.count_caller_expiry(phase);
             inner.signals[eviction.key.index()].send_replace(Some(eviction.phase));
         }
+        if !evictions.is_empty() {
+            let heads = evictions
+                .iter()
+                .filter(|one| one.phase == CallerPhase::Head);
+            let heads = heads.count();
+            spdlog::info!(
+                "event=callers_expired idle={} head={heads} idle_ms={} header_ms={} connections={}",
+                evictions.len() - heads,
+                timeouts.idle_ms,
+                timeouts.header_ms,
+                inner.ledger.open_connections()
+            );
+        }
         self.observe(&inner);
     }
 
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -30,6 +30,9 @@
     /// Number of callers' connections that were given up, or not accepted, for want of room, by what
     /// they were doing.
     pub caller_evictions: IntCounterVec,
+    /// Number of callers' connections that were closed after the times of the configuration, by what
+    /// they were doing.
+    pub caller_expiries: IntCounterVec,
     /// Number of refused requests whose bodies were discarded after the refusal, by how that ended.
     pub refused_bodies: IntCounterVec,
     /// Number of a gateway's requests that wait for free capacity at the upstreams.
@@ -108,6 +111,13 @@
             ),
             &["phase"],
         )?;
+        let caller_expiries = IntCounterVec::new(
+            Opts::new(
+                "lynxcart_caller_expiries_total",
+                "Callers' connections closed after the times of the configuration, by what they were doing.",
+            ),
+            &["phase"],
+        )?;
         let refused_bodies = IntCounterVec::new(
             Opts::new(
                 "lynxcart_refused_bodies_total",
@@ -161,6 +171,7 @@
         registry.register(Box::new(caller_bytes.clone()))?;
         registry.register(Box::new(caller_connections.clone()))?;
         registry.register(Box::new(caller_evictions.clone()))?;
+        registry.register(Box::new(caller_expiries.clone()))?;
         registry.register(Box::new(refused_bodies.clone()))?;
         registry.register(Box::new(waiting_requests.clone()))?;
         registry.register(Box::new(room_waits.clone()))?;
@@ -179,6 +190,7 @@
             caller_bytes,
             caller_connections,
             caller_evictions,
+            caller_expiries,
             refused_bodies,
             waiting_requests,
             room_waits,
@@ -208,6 +220,11 @@
         self.caller_evictions.with_label_values(&[phase]).inc();
     }
 
+    /// Counts a connection that was closed after the times of the configuration: `idle` or `head`.
+    pub fn count_caller_expiry(&self, phase: &str) {
+        self.caller_expiries.with_label_values(&[phase]).inc();
+    }
+
     /// Counts a body that was discarded after the refusal of its request, by how that ended.
     pub fn count_refused_body(&self, end: &str) {
         self.refused_bodies.with_label_values(&[end]).inc();
