--- a/standins/tests/refused_body.rs
+++ b/standins/tests/refused_body.rs
@@ -207,28 +207,28 @@
     site
 }
 
-/// Lets each caller send a body in two halves with a pause between them, all at once. Returns the
-/// status of each answer, `None` for one that is lost.
+/// Lets each caller send its head, and once all have, a body in two halves with a pause between them.
+/// Returns the status of each answer, `None` for one that is lost.
 async fn send_in_halves(
-    streams: Vec<TcpStream>,
+    mut streams: Vec<TcpStream>,
     request: RefusedRequest,
     pause_ms: u64,
 ) -> Vec<Option<u16>> {
-    let callers = streams
-        .into_iter()
-        .enumerate()
-        .map(|(number, stream)| async move {
-            let mut stream = stream;
-            let body = request.body();
-            let (first, rest) = body.split_at(body.len() / 2);
-            let head = request.head(&format!("halves-{number}"));
-            send_bytes(&mut stream, head.as_bytes()).await?;
-            send_bytes(&mut stream, first).await?;
-            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-            send_bytes(&mut stream, rest).await?;
-            let answer = read_answer(&mut stream).await?;
-            (!is_reset(&stream).await).then_some(answer.status)
-        });
+    for (number, stream) in streams.iter_mut().enumerate() {
+        let head = request.head(&format!("halves-{number}"));
+        let sent = send_bytes(stream, head.as_bytes()).await;
+        sent.expect("the head should be sent");
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let callers = streams.into_iter().map(|mut stream| async move {
+        let body = request.body();
+        let (first, rest) = body.split_at(body.len() / 2);
+        send_bytes(&mut stream, first).await?;
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        send_bytes(&mut stream, rest).await?;
+        let answer = read_answer(&mut stream).await?;
+        (!is_reset(&stream).await).then_some(answer.status)
+    });
     join_all(callers).await
 }
 
@@ -484,3 +484,16 @@
     let statuses = send_in_halves(streams, request, 600).await;
     assert!(!statuses.contains(&None), "{statuses:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_a_body_without_room_reaches_callers_that_are_still_sending() {
+    /// More of such bodies than the gateway has room for.
+    const LARGE_BYTES: usize = 4 * 1024 * 1024;
+    let settings = [("LYNXCART_MEMORY_MB", String::from("64"))];
+    let site = start_site_with("room", LARGE_BYTES, &settings).await;
+    let request = RefusedRequest::new("/lookup/x", API_KEY, LARGE_BYTES);
+    let streams = join_all((0..CALLERS).map(|_| connect(&site))).await;
+    let statuses = send_in_halves(streams, request, 500).await;
+    assert!(!statuses.contains(&None), "{statuses:?}");
+    assert!(statuses.contains(&Some(503)), "{statuses:?}");
+}
