Answer requests that cross the close of an idle connection

What callers saw: a connection closed without an answer although the gateway had read a request from it.

Cause: a connection that is given up while idle (idle_timeout_ms, for want of room) is told so through a channel, and its task returns when it learns of it, whatever arrived meanwhile. Hyper may have read a whole request by then, or read it in the same turn; what it read was refused room as well, so that the read failed. It is the class of decisions that are carried out later than they were made, without another look at what they were made on.

Evidence: unit tests on the ledger and on a connection of its table, since the race cannot be brought about from outside. By reading, such a request was never passed on to a replica: begin_service refused it.

Fix: the eviction of an idle connection is taken back when bytes of a request come, or its head is complete, if there is still room for the connection; if there is none, the request gets its refusal, which says that the connection is closed. The task polls the connection before it looks at evictions, and looks for bytes that the event loop has not learned of before it closes an idle one. Evictions of incomplete heads and bodies stand.

--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::os::fd::RawFd;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::sync::watch;
@@ -19,6 +20,8 @@
 
 /// Smallest capacity of a body that is being read, bytes.
 const MIN_BODY_CAPACITY: usize = 1024;
+/// Pause in which the event loop reads what has arrived on a connection that is given up, milliseconds.
+const ARRIVAL_POLL_MS: u64 = 1;
 
 /// The open connections of a gateway's callers.
 #[derive(Clone, Debug)]
@@ -37,6 +40,21 @@
     signals: Vec<watch::Sender<Option<CallerPhase>>>,
 }
 
+impl TableInner {
+    /// Takes back that a connection was given up, if it counts again; else tells it `phase`, if any.
+    fn note_readmission(&mut self, key: CallerKey, phase: Option<CallerPhase>) {
+        let is_told = self.signals[key.index()].borrow().is_some();
+        if !is_told || self.ledger.last_request(key).is_none() {
+            return;
+        }
+        match (self.ledger.is_evicted(key), phase) {
+            (false, _) => drop(self.signals[key.index()].send_replace(None)),
+            (true, Some(phase)) => drop(self.signals[key.index()].send_replace(Some(phase))),
+            (true, None) => {}
+        }
+    }
+}
+
 impl CallerTable {
     /// Creates the table of a gateway that has room for so much.
     pub fn new(room: CallerRoom, metrics: MetricSet) -> CallerTable {
@@ -162,8 +180,12 @@
 impl CallerConnection {
     /// Records that bytes were read. Returns false if there is no room for them.
     pub fn record_read(&self, bytes: usize) -> bool {
-        self.table
-            .decide(|ledger, now| ledger.record_read(now, self.key, bytes))
+        let now = BootClock.now();
+        let mut inner = self.table.lock();
+        let decision = inner.ledger.record_read(now, self.key, bytes);
+        inner.note_readmission(self.key, None);
+        self.table.carry_out(&inner, &decision.evictions);
+        decision.is_granted
     }
 
     /// Records whether bytes wait to be written since the caller does not read.
@@ -178,6 +200,8 @@
         let now = BootClock.now();
         let mut inner = self.table.lock();
         inner.ledger.begin_body(now, self.key);
+        // The request is answered, at least with a refusal, before its connection is closed.
+        inner.note_readmission(self.key, Some(CallerPhase::Body));
         CallerRequest {
             connection: self.clone(),
             number: inner.ledger.last_request(self.key),
@@ -192,21 +216,25 @@
     /// Whether the caller has closed the connection. The event loop learns of that later when it is
     /// behind its work.
     pub fn has_left(&self) -> bool {
+        match self.peek() {
+            0 => true,
+            -1 => io::Error::last_os_error().kind() == io::ErrorKind::ConnectionReset,
+            _ => false,
+        }
+    }
+
+    /// Looks for a byte that has arrived, as `recv` does.
+    fn peek(&self) -> isize {
         let mut byte = 0_u8;
         // SAFETY: `byte` is valid for writes of one byte for the duration of the call, which does not
-        // wait. The socket is open while its requests are served.
-        let received = unsafe {
+        // wait. The socket is open while its connection is served.
+        unsafe {
             libc::recv(
                 self.socket,
                 std::ptr::from_mut(&mut byte).cast(),
                 1,
                 libc::MSG_PEEK | libc::MSG_DONTWAIT,
             )
-        };
-        match received {
-            0 => true,
-            -1 => io::Error::last_os_error().kind() == io::ErrorKind::ConnectionReset,
-            _ => false,
         }
     }
 
@@ -217,9 +245,17 @@
         self.table.observe(&inner);
     }
 
-    /// Waits until the connection is to be closed since it was given up.
+    /// Waits until the connection is to be closed since it was given up. A request that has arrived
+    /// before is read first, also if the event loop has not learned of it yet.
     pub async fn wait_for_eviction(&self) {
-        self.wait_for(|phase| phase != CallerPhase::Body).await;
+        loop {
+            self.wait_for(|phase| phase != CallerPhase::Body).await;
+            let awaits_request = self.table.lock().ledger.awaits_request(self.key);
+            if !awaits_request || self.peek() <= 0 {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(ARRIVAL_POLL_MS)).await;
+        }
     }
 
     async fn wait_for(&self, is_meant: impl Fn(CallerPhase) -> bool) {
@@ -266,6 +302,12 @@
         inner.ledger.begin_service(now, self.connection.key)
     }
 
+    /// Whether the connection was given up and is closed after the answer.
+    pub fn is_evicted(&self) -> bool {
+        let inner = self.connection.table.lock();
+        inner.ledger.is_evicted(self.connection.key)
+    }
+
     /// Records that the request is refused and the rest of its body is to be read and discarded.
     /// Returns false if there is no room for that.
     pub fn begin_discard(&self) -> bool {
--- a/src/gateway/caller_ledger.rs
+++ b/src/gateway/caller_ledger.rs
@@ -191,11 +191,19 @@
     }
 
     /// Records that bytes of a connection were read. They count while they belong to an incomplete
-    /// head; those of bodies count by [`Self::grow_body`].
+    /// head; those of bodies count by [`Self::grow_body`]. A connection that was given up while idle
+    /// is kept if there is room: the request crosses its close.
     pub fn record_read(&mut self, now: ClockTime, key: CallerKey, bytes: usize) -> RoomDecision {
         let phase = self.record(key).map(|record| record.phase);
         if phase == Some(CallerPhase::Idle) {
             self.set_phase(now, key, CallerPhase::Head);
+            if !self.readmit(key) {
+                // If its head is whole, the request is refused, else the connection is closed.
+                return RoomDecision {
+                    is_granted: true,
+                    evictions: Vec::new(),
+                };
+            }
         }
         match phase {
             Some(CallerPhase::Idle | CallerPhase::Head) => self.grow(key, bytes),
@@ -210,15 +218,28 @@
         }
     }
 
-    /// Records that a head is complete. Its bytes belong to the request now.
+    /// Records that a head is complete. Its bytes belong to the request now. A connection that was given
+    /// up is kept if there is room.
     pub fn begin_body(&mut self, now: ClockTime, key: CallerKey) {
         self.set_phase(now, key, CallerPhase::Body);
         if let Some(record) = self.record_mut(key) {
             record.is_discarding = false;
             record.requests = record.requests.wrapping_add(1);
+            self.readmit(key);
         }
     }
 
+    /// Whether the next request may come on a connection, of which nothing was read so far.
+    pub fn awaits_request(&self, key: CallerKey) -> bool {
+        let record = self.record(key);
+        record.is_some_and(|record| record.phase == CallerPhase::Idle && !record.is_discarding)
+    }
+
+    /// Whether a connection was given up and is not closed yet.
+    pub fn is_evicted(&self, key: CallerKey) -> bool {
+        self.record(key).is_some_and(|record| record.is_evicted)
+    }
+
     /// Number of the request that was begun last on a connection.
     pub fn last_request(&self, key: CallerKey) -> Option<u32> {
         self.record(key).map(|record| record.requests)
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -147,7 +147,9 @@
         .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
+    // What has arrived is read before the connection is closed.
     let result = tokio::select! {
+        biased;
         result = connection.as_mut() => result,
         () = caller.wait_for_eviction() => return,
         () = wait_for_closing(&mut shutdown) => {
@@ -161,6 +163,7 @@
                 None => {
                     connection.as_mut().graceful_shutdown();
                     tokio::select! {
+                        biased;
                         result = connection => result,
                         () = caller.wait_for_eviction() => return,
                     }
--- a/src/gateway/refused_body.rs
+++ b/src/gateway/refused_body.rs
@@ -57,6 +57,9 @@
         refusal: &mut Response<GatewayBody>,
     ) {
         if self.rest.is_end_stream() {
+            if self.caller.is_evicted() {
+                announce_close(refusal);
+            }
             return;
         }
         let max_bytes = gateway.state().routes.config().limits.body_bytes;
@@ -67,8 +70,7 @@
         let is_within_limit = length.is_some_and(|length| length <= max_bytes as u64);
         let has_room = self.caller.begin_discard();
         if !has_room || is_withheld || !is_within_limit {
-            let close = HeaderValue::from_static("close");
-            refusal.headers_mut().insert(CONNECTION, close);
+            announce_close(refusal);
         }
         if has_room && !is_withheld {
             tokio::spawn(self.read_to_end(gateway.clone(), id.to_owned(), max_bytes));
@@ -97,6 +99,11 @@
     }
 }
 
+fn announce_close(refusal: &mut Response<GatewayBody>) {
+    let close = HeaderValue::from_static("close");
+    refusal.headers_mut().insert(CONNECTION, close);
+}
+
 async fn discard_frames(body: &mut Incoming, bytes: &mut usize, max_bytes: usize) -> DiscardEnd {
     let silence = Duration::from_millis(SILENCE_MS);
     while !body.is_end_stream() {
--- a/tests/gateway/caller_ledger.rs
+++ b/tests/gateway/caller_ledger.rs
@@ -1,9 +1,18 @@
 //! Tests of what a gateway holds for its callers, and who goes when there is no room.
 
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::time::Duration;
+
+use futures_util::FutureExt;
 use lynxcart::clock::ClockTime;
+use lynxcart::gateway::caller_connection::CallerTable;
 use lynxcart::gateway::caller_ledger::{
     CallerKey, CallerLedger, CallerPhase, CallerRoom, CallerTimeouts, Eviction, CONNECTION_BYTES,
 };
+use lynxcart::gateway::catalog::CallerLimits;
+use lynxcart::metric::MetricSet;
 use proptest::prelude::*;
 
 const KIB: usize = 1024;
@@ -123,6 +132,89 @@
     ledger.check_totals();
 }
 
+#[test]
+fn request_that_crosses_the_close_of_its_idle_connection_is_served() {
+    let timeouts = CallerTimeouts {
+        header_ms: 1_000,
+        idle_ms: 1_000,
+    };
+    let mut ledger = ledger(64 * KIB, 2);
+    let key = open(&mut ledger, 0);
+    assert_eq!(ledger.expire(ClockTime(1_000), timeouts).len(), 1);
+    ledger.begin_body(ClockTime(1_001), key);
+    assert_eq!(ledger.held_bytes(), CONNECTION_BYTES);
+    assert!(ledger.begin_service(ClockTime(1_001), key));
+    ledger.check_totals();
+    // Once others have taken its room, it is refused.
+    ledger.end_request(ClockTime(1_001), key);
+    assert_eq!(ledger.expire(ClockTime(3_000), timeouts).len(), 1);
+    open(&mut ledger, 3_000);
+    open(&mut ledger, 3_000);
+    ledger.begin_body(ClockTime(3_001), key);
+    assert!(!ledger.begin_service(ClockTime(3_001), key));
+    ledger.check_totals();
+}
+
+#[tokio::test]
+async fn connection_is_not_closed_under_a_request_that_was_read_beside_its_eviction() {
+    let metrics = MetricSet::new().expect("the metrics should register");
+    let room = CallerRoom {
+        bytes: 1_024 * KIB,
+        connections: 2,
+    };
+    let table = CallerTable::new(room, metrics);
+    // The socket is not used.
+    let connection = table.open(-1, CallerLimits::default());
+    let connection = connection.expect("there should be room");
+    table.expire(CallerTimeouts {
+        header_ms: 0,
+        idle_ms: 0,
+    });
+    assert!(connection.wait_for_eviction().now_or_never().is_some());
+    let request = connection.begin_request();
+    assert!(connection.wait_for_eviction().now_or_never().is_none());
+    assert!(request.wait_for_eviction().now_or_never().is_none());
+    assert!(request.begin_service());
+    // A request without room for its connection is refused.
+    drop(request);
+    table.expire(CallerTimeouts {
+        header_ms: 0,
+        idle_ms: 0,
+    });
+    let _others = [0, 1].map(|_| table.open(-1, CallerLimits::default()).expect("room"));
+    let request = connection.begin_request();
+    assert!(connection.wait_for_eviction().now_or_never().is_none());
+    assert!(request.wait_for_eviction().now_or_never().is_some());
+    assert!(!request.begin_service());
+}
+
+#[tokio::test]
+async fn idle_connection_is_not_closed_over_a_request_that_the_event_loop_has_not_read() {
+    let metrics = MetricSet::new().expect("the metrics should register");
+    let room = CallerRoom {
+        bytes: 1_024 * KIB,
+        connections: 2,
+    };
+    let table = CallerTable::new(room, metrics);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let mut caller = TcpStream::connect(address).expect("a connection");
+    let (stream, _) = listener.accept().expect("a connection");
+    let connection = table.open(stream.as_raw_fd(), CallerLimits::default());
+    let connection = connection.expect("there should be room");
+    caller.write_all(b"GET").expect("the bytes should be sent");
+    stream.peek(&mut [0]).expect("a byte should arrive");
+    table.expire(CallerTimeouts {
+        header_ms: 0,
+        idle_ms: 0,
+    });
+    assert!(connection.wait_for_eviction().now_or_never().is_none());
+    assert!(connection.record_read(3));
+    // It is taken back: the rest of the head may come.
+    let wait = tokio::time::timeout(Duration::from_millis(50), connection.wait_for_eviction());
+    assert!(wait.await.is_err());
+}
+
 #[test]
 fn refused_request_holds_no_bytes_while_its_body_is_discarded() {
     let mut ledger = ledger(512 * KIB, 2);
