Read on after refusals of entries and agents

What callers saw: a caller of `lynxcart entry` or of an agent whose request was refused before its body was read (no route, wrong method, body over 1 MiB) had its connection reset while it was still sending.

Cause: the same as at the gateway; the web server closes a connection with the rest of the body unread.

Fix: the servers' connections shut down their write side and are read on until the peer closes or two seconds have passed, as the gateway's callers' are. Both use the same code now.

--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -1,23 +1,18 @@
 //! The byte stream of a caller's connection. It counts what is read and tells what is not written.
 
-use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
-use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, Sleep};
 
 use crate::gateway::caller_connection::CallerConnection;
+use crate::linger::Linger;
 
 /// Largest read from a caller's connection, bytes. Below the first size of hyper's read buffer, which
 /// grows when a read fills it.
 const MAX_READ_BYTES: usize = 8_000;
-/// Time for which a connection is read on after its last answer, milliseconds: the rest of a refused
-/// body would reset it, and the answer may be on its way.
-const LINGER_MS: u64 = 2_000;
 
 /// A caller's connection. Dropping it closes the connection.
 #[derive(Debug)]
@@ -26,8 +21,8 @@
     connection: CallerConnection,
     /// Whether bytes wait to be written since the caller does not read.
     is_unwritten: bool,
-    /// End of the time for which the connection is read on; `None` while more may be written.
-    linger: Option<Pin<Box<Sleep>>>,
+    /// `None` while more may be written.
+    linger: Option<Linger>,
 }
 
 impl CallerStream {
@@ -57,22 +52,6 @@
         }
     }
 
-    /// Reads and discards what comes until the caller closes the connection or the time is up.
-    fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let Some(time_limit) = self.linger.as_mut() else {
-            return Poll::Ready(Ok(()));
-        };
-        let mut bytes = [0; MAX_READ_BYTES];
-        while time_limit.as_mut().poll(context).is_pending() {
-            let mut buffer = ReadBuf::new(&mut bytes);
-            let read = ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer));
-            if read.is_err() || buffer.filled().is_empty() {
-                break;
-            }
-        }
-        Poll::Ready(Ok(()))
-    }
-
     /// Notes whether a write of `len` bytes left some of them.
     fn note_write(&mut self, len: usize, result: &Poll<io::Result<usize>>) {
         let is_whole = matches!(result, Poll::Ready(Ok(written)) if *written == len);
@@ -140,12 +119,19 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.linger.is_none() {
-            ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
-            if self.connection.lingers() {
-                self.linger = Some(Box::pin(sleep(Duration::from_millis(LINGER_MS))));
-            }
+        let CallerStream {
+            stream,
+            connection,
+            linger,
+            ..
+        } = &mut *self;
+        if linger.is_none() {
+            ready!(Pin::new(&mut *stream).poll_shutdown(context))?;
+            *linger = connection.lingers().then(Linger::begin);
+        }
+        match linger {
+            Some(linger) => linger.poll(stream, context).map(Ok),
+            None => Poll::Ready(Ok(())),
         }
-        self.poll_linger(context)
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fetch;
 pub mod fingerprint;
 pub mod gateway;
+pub mod linger;
 pub mod member;
 pub mod messaging;
 pub mod metric;
--- a/src/web.rs
+++ b/src/web.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eyre::WrapErr;
 use futures_util::FutureExt;
 use gotham::handler::{Handler, HandlerFuture, NewHandler};
 use gotham::helpers::http::Body;
@@ -18,7 +19,9 @@
 use http_body_util::{BodyExt, Full, Limited};
 use serde::Serialize;
 use serde_json::json;
+use tokio::net::TcpListener;
 
+use crate::linger::LingeringStream;
 use crate::verdict::{RefusalReason, RequestRefusal};
 
 /// Maximum size of a request body, in bytes.
@@ -140,9 +143,11 @@
 ///
 /// If the address cannot be listened on.
 pub async fn serve(address: SocketAddr, router: Router) -> eyre::Result<()> {
-    gotham::init_server(address, router)
+    let listener = TcpListener::bind(address)
         .await
-        .map_err(|error| eyre::eyre!("could not listen on {address}: {error}"))
+        .wrap_err_with(|| format!("could not listen on {address}"))?;
+    let wrap = |stream| std::future::ready(Ok(LingeringStream::new(stream)));
+    gotham::bind_server(listener, router, wrap).await
 }
 
 /// Converts bytes to a response body.
