Read the refusal of an upstream that closes before it has read the body

What callers saw: a 502 for requests that may not be repeated, though the replica had said that it did not run them; and refusals for ten minutes, since the replica was counted as crashed under the requests and those were quarantined.

Cause: an upstream refuses a request at its head, and closes the connection while the rest of the body is on its way. The gateway's write fails, and hyper ends the exchange with that error, without reading the answer that has arrived.

Fix: once the upstream no longer takes what is written, the rest of the request is discarded and the answer is read. Without an answer the read fails, and the attempt is lost as before. The connection is not used again.

--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -62,11 +62,39 @@
     }
 }
 
-/// A stream that fails when its peer sends more than the allowance.
+/// A stream that fails when its peer sends more than the allowance, and not when the peer no longer
+/// takes what is written: an upstream may refuse a request, and close, before it has read its body.
 #[derive(Debug)]
 struct LimitedStream {
     stream: TcpStream,
     allowance: ReadAllowance,
+    /// Whether a write has failed. What is written is discarded from then on.
+    write_failed: Arc<AtomicBool>,
+}
+
+impl LimitedStream {
+    /// Takes the rest of a request as written after the upstream has closed the connection, so that
+    /// its answer is read. Without an answer, the read that follows fails.
+    fn discard_unwritten(
+        &self,
+        len: usize,
+        result: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        match result {
+            Poll::Ready(Err(error)) if is_closed_by_peer(&error) => {
+                self.write_failed.store(true, Ordering::Relaxed);
+                Poll::Ready(Ok(len))
+            }
+            result => result,
+        }
+    }
+}
+
+fn is_closed_by_peer(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::BrokenPipe | io::ErrorKind::ConnectionReset
+    )
 }
 
 impl AsyncRead for LimitedStream {
@@ -91,7 +119,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.discard_unwritten(bytes.len(), result)
     }
 
     fn poll_write_vectored(
@@ -99,7 +128,9 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let len = slices.iter().map(|slice| slice.len()).sum();
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.discard_unwritten(len, result)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -120,6 +151,7 @@
 pub struct UpstreamConnection {
     sender: SendRequest<Full<Bytes>>,
     allowance: ReadAllowance,
+    write_failed: Arc<AtomicBool>,
     task: AbortHandle,
 }
 
@@ -181,7 +213,7 @@
         None
     }
 
-    /// Adds a connection whose last response was complete, or drops it if it is closed or the pool
+    /// Adds a connection whose last response was complete, or drops it if it was closed or the pool
     /// of this upstream is full. `timeout_ms` is the idle timeout that the upstream stated, or
     /// `None` if it stated none.
     pub fn put(
@@ -191,7 +223,7 @@
         connection: UpstreamConnection,
         timeout_ms: Option<u64>,
     ) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || connection.write_failed.load(Ordering::Relaxed) {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -228,9 +260,11 @@
     let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let allowance = ReadAllowance(Arc::new(AtomicUsize::new(MAX_HEAD_BYTES)));
+    let write_failed = Arc::new(AtomicBool::new(false));
     let stream = LimitedStream {
         stream,
         allowance: allowance.clone(),
+        write_failed: write_failed.clone(),
     };
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_READ_BYTES)
@@ -244,6 +278,7 @@
     Ok(UpstreamConnection {
         sender,
         allowance,
+        write_failed,
         task: task.abort_handle(),
     })
 }
