--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpStream;
 
 use crate::gateway::caller_connection::CallerConnection;
+use crate::linger::Linger;
 
 /// Largest read from a caller's connection, bytes. Below the first size of hyper's read buffer, which
 /// grows when a read fills it.
@@ -20,6 +21,8 @@
     connection: CallerConnection,
     /// Whether bytes wait to be written since the caller does not read.
     is_unwritten: bool,
+    /// `None` while more may be written.
+    linger: Option<Linger>,
 }
 
 impl CallerStream {
@@ -29,6 +32,7 @@
             stream,
             connection,
             is_unwritten: false,
+            linger: None,
         }
     }
 
@@ -115,6 +119,19 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        let CallerStream {
+            stream,
+            connection,
+            linger,
+            ..
+        } = &mut *self;
+        if linger.is_none() {
+            ready!(Pin::new(&mut *stream).poll_shutdown(context))?;
+            *linger = connection.lingers().then(Linger::begin);
+        }
+        match linger {
+            Some(linger) => linger.poll(stream, context).map(Ok),
+            None => Poll::Ready(Ok(())),
+        }
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -22,6 +22,7 @@
 use crate::gateway::crash_ledger::CrashSeries;
 use crate::gateway::part_ledger::{PartVerdict, PromptPart, SuspectRun};
 use crate::gateway::permit::acquire_permit;
+use crate::gateway::refused_body::RefusedBody;
 use crate::gateway::relay;
 use crate::gateway::reserved_target::ReservedTarget;
 use crate::gateway::response::{
@@ -149,38 +150,24 @@
     caller: CallerRequest,
 ) -> Response<GatewayBody> {
     let received_at = gateway.clock.now();
-    let (parts, body) = request.into_parts();
+    let (parts, mut rest) = request.into_parts();
     let meta = request_meta(&parts.headers);
-    if gateway.rejects_new_requests() {
-        let refusal = RequestRefusal::not_run(RefusalReason::Draining, "this VM is stopping");
-        return refuse(
-            gateway,
-            &meta.id,
-            received_at,
-            &refusal.retry_after(SHUTDOWN_RETRY_AFTER_MS),
-        );
-    }
-    // The limit is that of the configuration in force, also on connections that are older.
-    if head_bytes(&parts) > gateway.state().routes.config().limits.header_bytes {
-        let detail = "the request line and headers are larger than the limit";
-        let refusal = RequestRefusal::not_run(RefusalReason::HeadersTooLarge, detail);
-        return refuse(gateway, &meta.id, received_at, &refusal);
-    }
-    let admitted = match admit(gateway, received_at, &parts, &meta) {
-        Ok(admitted) => admitted,
-        Err(refusal) => return refuse(gateway, &meta.id, received_at, &refusal),
-    };
-    let in_flight = InFlightGuard::begin(gateway);
     let read = tokio::select! {
         biased;
-        read = read_body(gateway, &admitted, body, &caller) => read,
+        read = read_request(gateway, received_at, &parts, &meta, &mut rest, &caller) => {
+            read.map_err(|refusal| refuse(gateway, &meta.id, received_at, &refusal))
+        }
         () = gateway.wait_for_ending() => {
-            return end_request(gateway, &meta.id, received_at, RunVerdict::NotRun, None);
+            Err(end_request(gateway, &meta.id, received_at, RunVerdict::NotRun, None))
         }
     };
-    let body = match read {
-        Ok(body) => body,
-        Err(refusal) => return refuse(gateway, &meta.id, received_at, &refusal),
+    let (admitted, in_flight, body) = match read {
+        Ok(request) => request,
+        Err(mut response) => {
+            let refused = RefusedBody { rest, caller };
+            refused.discard(gateway, &parts, &meta.id, &mut response);
+            return response;
+        }
     };
     let fingerprint = fingerprint(&admitted, &parts, &body);
     let shared_parts = meta.shared_parts.iter();
@@ -214,6 +201,35 @@
     end_request(gateway, &id, received_at, ledger.verdict(), fallback)
 }
 
+/// Admits a request and reads its body.
+///
+/// # Errors
+///
+/// The refusal, after which the rest of the body has not been read.
+async fn read_request(
+    gateway: &Arc<Gateway>,
+    received_at: ClockTime,
+    parts: &Parts,
+    meta: &RequestMeta,
+    body: &mut Incoming,
+    caller: &CallerRequest,
+) -> Result<(AdmittedRequest, InFlightGuard, Bytes), RequestRefusal> {
+    if gateway.rejects_new_requests() {
+        let refusal = RequestRefusal::not_run(RefusalReason::Draining, "this VM is stopping");
+        return Err(refusal.retry_after(SHUTDOWN_RETRY_AFTER_MS));
+    }
+    // The limit is that of the configuration in force, also on connections that are older.
+    if head_bytes(parts) > gateway.state().routes.config().limits.header_bytes {
+        let detail = "the request line and headers are larger than the limit";
+        let refusal = RequestRefusal::not_run(RefusalReason::HeadersTooLarge, detail);
+        return Err(refusal);
+    }
+    let admitted = admit(gateway, received_at, parts, meta)?;
+    let in_flight = InFlightGuard::begin(gateway);
+    let body = read_body(gateway, &admitted, body, caller).await?;
+    Ok((admitted, in_flight, body))
+}
+
 /// Size of a request's head, bytes, as a caller writes it.
 fn head_bytes(parts: &Parts) -> usize {
     /// The spaces, the version and the line end of a request line, and the line end of the head.
@@ -235,7 +251,7 @@
 async fn read_body(
     gateway: &Gateway,
     admitted: &AdmittedRequest,
-    body: Incoming,
+    body: &mut Incoming,
     caller: &CallerRequest,
 ) -> Result<Bytes, RequestRefusal> {
     let max_bytes = gateway.state().routes.config().limits.body_bytes;
@@ -259,7 +275,7 @@
 }
 
 async fn collect_body(
-    mut body: Incoming,
+    body: &mut Incoming,
     caller: &CallerRequest,
     max_bytes: usize,
 ) -> Result<Bytes, RequestRefusal> {
