Take the silence of a replica for no crash until it lasts

What callers saw: streams were broken off in the middle of an answer, and the same requests of all callers were refused with 503 for ten minutes, where sound replicas had only been silent for 0.6 s.

Cause: a first replica that left queries unanswered for 450 ms, a later one that left a health check unanswered for 60 ms or was reported as holding a stream up, and an address whose connection was not open within 400 ms counted as crashed. Three of these quarantined the request, ended its stream, and blamed the parts of its prompt. Silence was taken for death at each of these places.

Why this works: what a silence shows is decided apart, in silence.rs. The runs are remembered with the replica. It is asked on a new connection until it answers, and then nothing is counted; or it refuses, another incarnation answers, a peer or another request sees its end, or it has been silent for 2 s, and then the crash is counted as of the start of the silence. A request that completes meanwhile is not blamed. Streams that may be resumed are still moved as early as before. A request under which as many replicas are silent as may crash stays where it is, and its answer is ended only if its own replicas are known to have crashed.

New: event=silence_under_request, event=silence_ended verdict=sound|crash, event=silent_run_blamed, lynxcart_silences_total{result}.

--- a/src/fetch.rs
+++ b/src/fetch.rs
@@ -1,5 +1,8 @@
 //! HTTP client helpers on top of hyper-util.
 
+use std::error::Error;
+use std::io;
+
 use bytes::Bytes;
 use eyre::{eyre, WrapErr};
 use http::header::CONTENT_TYPE;
@@ -38,6 +41,13 @@
         .build(connector)
 }
 
+/// Whether a connection was refused, as by a host on which nothing listens at the port.
+pub fn is_refused(error: &(dyn Error + 'static)) -> bool {
+    let io_error = error.downcast_ref::<io::Error>();
+    let is_refusal = io_error.map(io::Error::kind) == Some(io::ErrorKind::ConnectionRefused);
+    is_refusal || error.source().is_some_and(is_refused)
+}
+
 /// Builds a request with a JSON body.
 ///
 /// # Errors
--- a/src/gateway/chain_probe.rs
+++ b/src/gateway/chain_probe.rs
@@ -106,9 +106,23 @@
     }
 }
 
-/// Asks the later replicas of a chain whether they are there. Returns those that are not. Replicas with a
-/// limit on their requests are not asked.
-pub async fn find_unreachable(gateway: &Arc<Gateway>, chain: &[ChainHop]) -> Vec<UpstreamKey> {
+/// Asks a replica whether it is there, unless it was asked just before or has a limit on its requests.
+/// `None` if it was not asked.
+pub async fn probe_replica(gateway: &Arc<Gateway>, key: UpstreamKey) -> Option<ProbeOutcome> {
+    if gateway.state().permits.is_limited(key) {
+        return None;
+    }
+    let mut outcome = gateway.probes.ask(gateway, key);
+    let settled = outcome.wait_for(Option::is_some).await;
+    settled.ok().and_then(|outcome| *outcome)
+}
+
+/// Asks the later replicas of a chain whether they are there. Returns those that are not, and what
+/// shows it. Replicas with a limit on their requests are not asked.
+pub async fn find_unreachable(
+    gateway: &Arc<Gateway>,
+    chain: &[ChainHop],
+) -> Vec<(UpstreamKey, ProbeOutcome)> {
     let later: Vec<UpstreamKey> = {
         let state = gateway.state();
         let keys = chain.iter().skip(1).map(|hop| hop.upstream);
@@ -127,5 +141,7 @@
     if gateway.state().own_delay.delay_ms() >= MAX_OWN_DELAY_MS {
         return Vec::new();
     }
-    judge_probes(&outcomes)
+    let unreachable = judge_probes(&outcomes);
+    outcomes.retain(|(key, _)| unreachable.contains(key));
+    outcomes
 }
--- a/src/gateway/crash_ledger.rs
+++ b/src/gateway/crash_ledger.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::Bound;
+use std::sync::{Arc, Mutex};
 
 use crate::clock::ClockTime;
 use crate::fingerprint::RequestFingerprint;
@@ -53,8 +54,17 @@
     pub fn is_exhausted(&self) -> bool {
         self.crashes >= MAX_CRASHES
     }
+
+    /// Whether the request will have to be given up if as many more replicas crashed under it as
+    /// `open_ends`.
+    pub fn may_be_exhausted(&self, open_ends: usize) -> bool {
+        self.crashes + open_ends >= MAX_CRASHES
+    }
 }
 
+/// The series of one request, shared with what is remembered of its runs.
+pub type SharedSeries = Arc<Mutex<CrashSeries>>;
+
 /// A crash, in the time of this gateway's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Crash {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -4,7 +4,7 @@
 //! [`GatewayState`]: crate::gateway::state::GatewayState
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,7 +19,7 @@
 use crate::gateway::attempt_ledger::{AttemptFailure, AttemptLedger, NextStep};
 use crate::gateway::caller_connection::{BodyBuffer, BodyFault, CallerRequest};
 use crate::gateway::catalog::WorkKind;
-use crate::gateway::crash_ledger::CrashSeries;
+use crate::gateway::crash_ledger::{CrashSeries, SharedSeries};
 use crate::gateway::part_ledger::{PartVerdict, PromptPart, SuspectRun};
 use crate::gateway::permit::acquire_permit;
 use crate::gateway::relay;
@@ -65,7 +65,7 @@
     /// What the request is to a replica that crashes under it.
     pub suspect: SuspectRun,
     /// Replicas that crashed while they ran the request.
-    crash_series: Mutex<CrashSeries>,
+    pub(super) crash_series: SharedSeries,
     /// Whether the request tries a quarantined part of its prompt again.
     is_probe: AtomicBool,
     /// When the request line and headers were received.
@@ -82,6 +82,12 @@
         series.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether as many replicas crashed or are silent under the request as may crash.
+    pub(super) fn awaits_ends(&self, state: &GatewayState) -> bool {
+        let open_ends = state.silences.open_ends(&self.crash_series);
+        self.crash_series().may_be_exhausted(open_ends)
+    }
+
     /// Whether the request must not be sent to any replica, since several crashed under it, under
     /// one that is the same, or under others with a part of its prompt.
     pub(super) fn is_barred(&self, now: ClockTime, state: &GatewayState) -> bool {
@@ -182,7 +188,7 @@
             fingerprint,
             parts: shared_parts.collect(),
         },
-        crash_series: Mutex::default(),
+        crash_series: SharedSeries::default(),
         is_probe: AtomicBool::new(false),
         parts,
         body,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! [`state`], [`placement`] and the modules that these two use make the decisions and do no I/O.
 //! [`listener`], [`forward`], [`upstream_attempt`], [`relay`], [`reroute`], [`response`], [`pool`],
-//! [`sync`], [`discovery`], [`doubt`], [`placement_runner`], [`peer_exchange`], [`permit`], [`task`] and [`run`]
+//! [`sync`], [`discovery`], [`doubt`], [`silence_check`], [`placement_runner`], [`peer_exchange`], [`permit`], [`task`] and [`run`]
 //! carry them out. The names and formats of the deployment's platform are confined to
 //! [`crate::platform`].
 
@@ -48,6 +48,8 @@
 pub mod response_buffer;
 pub mod return_schedule;
 pub mod run;
+pub mod silence;
+pub mod silence_check;
 pub mod state;
 pub mod sync;
 pub mod task;
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -13,6 +13,7 @@
 use crate::gateway::permit_table::LimitChange;
 use crate::gateway::rate_limit::LimitStatement;
 use crate::gateway::run::Gateway;
+use crate::gateway::silence_check::note_end;
 use crate::gateway::state::GatewayState;
 use crate::gateway::sync::{StoreStatus, IDLE_WATCH_MS};
 use crate::gateway::upstream::{UpstreamEntry, UpstreamKey};
@@ -193,6 +194,7 @@
         gateway.peer_update.notify_one();
     }
     drop(state);
+    note_end(gateway, key, now);
     let crashes = added.map_or_else(|| "uncounted".to_owned(), |crashes| crashes.to_string());
     spdlog::info!(
         "event=crash_under_request request={} fingerprint={} upstream={id} crashes={crashes} may_be_cause={may_be_cause} parts={}",
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -16,6 +16,7 @@
 use crate::gateway::permit_table::{LimitSource, GIFT_INTERVAL_MS};
 use crate::gateway::rate_limit::StatedLimit;
 use crate::gateway::run::Gateway;
+use crate::gateway::silence_check::note_end;
 use crate::gateway::state::GatewayState;
 use crate::gateway::task::spawn_lasting;
 use crate::wire::gen::envelope::Body;
@@ -237,7 +238,10 @@
     let now = gateway.clock.now();
     gateway.state().permits.record_heard(now, from);
     match envelope.body {
-        Some(Body::GatewayLoad(load)) => apply_load(gateway, &envelope.sender, &load, from),
+        Some(Body::GatewayLoad(load)) => {
+            apply_load(gateway, &envelope.sender, &load, from);
+            note_silent_ends(gateway, now, &load);
+        }
         Some(Body::PermitAsk(ask)) => return Some(ask),
         Some(Body::PermitAnswer(answer)) => take_answer(gateway, &answer),
         Some(Body::PermitGifts(gifts)) => take_gifts(gateway, &gifts),
@@ -246,6 +250,16 @@
     None
 }
 
+/// Heeds that a peer saw the crash of a replica that is silent.
+fn note_silent_ends(gateway: &Gateway, now: ClockTime, load: &GatewayLoad) {
+    for end in crash_ends(now, load) {
+        let key = gateway.state().upstreams.by_address(end.replica);
+        if let Some(key) = key {
+            note_end(gateway, key, end.at);
+        }
+    }
+}
+
 fn apply_load(gateway: &Gateway, sender: &str, load: &GatewayLoad, from: SocketAddr) {
     let now = gateway.clock.now();
     let state = &mut *gateway.state();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -22,6 +22,7 @@
 };
 use crate::gateway::response::{record_completion, GatewayBody};
 use crate::gateway::run::Gateway;
+use crate::gateway::silence_check::note_answer;
 use crate::gateway::upstream::UpstreamKey;
 use crate::gateway::upstream_attempt::{FailedAttempt, OpenResponse, UpstreamAttempt};
 use crate::platform::headers::{body_type, caller_headers, ResponseMeta};
@@ -225,8 +226,7 @@
                     if is_progress {
                         let now = self.gateway.clock.now();
                         if self.silent_ms > 0 {
-                            let mut state = self.gateway.state();
-                            state.upstreams.record_answer(now, upstream_key);
+                            note_answer(&self.gateway, upstream_key);
                         }
                         self.silent_ms = 0;
                         self.checked_at = now;
@@ -370,9 +370,7 @@
                 continue;
             };
             if step.is_progress() {
-                let now = self.gateway.clock.now();
-                let mut state = self.gateway.state();
-                state.upstreams.record_answer(now, upstream_key);
+                note_answer(&self.gateway, upstream_key);
             }
             self.early_steps.push_back(step);
         }
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -11,18 +11,20 @@
 use http_body_util::Full;
 
 use crate::fetch::read_whole;
-use crate::gateway::chain_probe::find_unreachable;
+use crate::gateway::chain_probe::{find_unreachable, probe_replica, ProbeOutcome};
 use crate::gateway::forward::RequestContext;
 use crate::gateway::notice::{note_leaving, note_limit};
 use crate::gateway::permit::acquire_permit;
 use crate::gateway::reserved_target::ReservedTarget;
 use crate::gateway::run::{Gateway, StalledReport};
+use crate::gateway::silence_check::{note_answer, note_end};
 use crate::gateway::state::{RoomClaim, SendTarget};
 use crate::gateway::upstream::UpstreamKey;
 use crate::gateway::upstream_attempt::UpstreamAttempt;
 use crate::platform::headers::{chain_text, is_leaving, limit_statement};
 use crate::platform::order::{
     decode_report, fault_address, repath_request, report_request, ReplicaReport, StalledRequest,
+    MAX_REPORT_BYTES,
 };
 
 /// Interval at which the chain of a silent request is checked, milliseconds.
@@ -35,8 +37,6 @@
 const REPORT_TIMEOUT_MS: u64 = 250;
 /// Timeout of an order to reroute a request, milliseconds.
 const REROUTE_TIMEOUT_MS: u64 = 400;
-/// Largest answer of a replica to a report query or an order, bytes.
-const MAX_ANSWER_BYTES: usize = 256 * 1024;
 /// Number of chains tried for a running request before rerouting is given up.
 const MAX_REROUTE_ORDERS: u32 = 4;
 
@@ -44,9 +44,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptHealth {
     /// No later replica of its chain was found suspect or unregistered, or the request was rerouted
-    /// around those found. Also returned if no check was due.
+    /// around those found. Also returned if no check was due, or if the request must stay where it is.
     Alive,
-    /// The first replica of its chain refused a query, or answered none for some time.
+    /// The first replica of its chain refused a query, or answered none for some time. It may be
+    /// silent only for a moment.
     Dead,
     /// Later replicas of its chain are suspect or unregistered, and the request could not be
     /// rerouted around them or may be retried at another chain instead.
@@ -101,8 +102,15 @@
             if failure == QueryFailure::TimedOut && !unresponsive {
                 return AttemptHealth::Alive;
             }
-            if failure != QueryFailure::Unusable {
-                attempt.note_crash(context, first);
+            match failure {
+                QueryFailure::Failed => attempt.note_crash(context, first),
+                QueryFailure::TimedOut => {
+                    attempt.note_silence(context, first);
+                    if let Some(health) = barred_health(gateway, context, attempt) {
+                        return health;
+                    }
+                }
+                QueryFailure::Unusable | QueryFailure::Limited => {}
             }
             return AttemptHealth::Dead;
         }
@@ -112,9 +120,13 @@
     let fault = own_stall.and_then(|stalled| stalled.address);
     let fault_key = fault.and_then(|address| gateway.state().upstreams.by_address(address));
     if let Some(key) = fault_key {
-        attempt.note_crash(context, key);
-        if context.is_barred(now, &gateway.state()) {
-            return AttemptHealth::Quarantined;
+        // A replica that is silent for a moment holds the request up as well.
+        match probe_replica(gateway, key).await {
+            Some(ProbeOutcome::Refused) => attempt.note_crash(context, key),
+            _ => attempt.note_silence(context, key),
+        }
+        if let Some(health) = barred_health(gateway, context, attempt) {
+            return health;
         }
     }
     let avoid = {
@@ -154,6 +166,26 @@
     reroute(gateway, context, attempt, avoid, fault, may_retry).await
 }
 
+/// Health of an attempt whose request must not be moved to more replicas, since several crashed under
+/// it, or are silent and may have. It is ended only if its own replicas crashed. `None` if it may be
+/// moved.
+fn barred_health(
+    gateway: &Gateway,
+    context: &RequestContext,
+    attempt: &UpstreamAttempt,
+) -> Option<AttemptHealth> {
+    let now = gateway.clock.now();
+    let state = gateway.state();
+    if context.is_barred(now, &state) {
+        return Some(match attempt.has_crashed() {
+            true => AttemptHealth::Quarantined,
+            false => AttemptHealth::Alive,
+        });
+    }
+    let awaits_ends = context.awaits_ends(&state);
+    awaits_ends.then_some(AttemptHealth::Alive)
+}
+
 /// Asks the later replicas of a chain whether they are there, and reroutes the request around those
 /// that are not.
 async fn check_later_replicas(
@@ -164,22 +196,26 @@
 ) -> AttemptHealth {
     let unreachable = find_unreachable(gateway, &attempt.target.chain).await;
     let now = gateway.clock.now();
-    for key in &unreachable {
+    for (key, outcome) in &unreachable {
         let mut state = gateway.state();
         if !state.upstreams.get(*key).suspected(now) {
             let id = &state.upstreams.get(*key).entry.id;
-            spdlog::warn!("event=later_replica_unreachable id={id}");
+            spdlog::warn!("event=later_replica_unreachable id={id} outcome={outcome:?}");
             state.upstreams.suspect(now, *key);
         }
         drop(state);
-        attempt.note_crash(context, *key);
+        match outcome {
+            ProbeOutcome::Refused => attempt.note_crash(context, *key),
+            ProbeOutcome::Silent | ProbeOutcome::Answered => attempt.note_silence(context, *key),
+        }
     }
     if unreachable.is_empty() {
         return AttemptHealth::Alive;
     }
-    if context.is_barred(now, &gateway.state()) {
-        return AttemptHealth::Quarantined;
+    if let Some(health) = barred_health(gateway, context, attempt) {
+        return health;
     }
+    let unreachable = unreachable.into_iter().map(|(key, _)| key).collect();
     reroute(gateway, context, attempt, unreachable, None, may_retry).await
 }
 
@@ -380,16 +416,20 @@
     }
     let request = report_request(address);
     let answer = send_to_replica(gateway, key, request, REPORT_TIMEOUT_MS).await;
-    let now = gateway.clock.now();
-    if answer.is_ok() {
-        gateway.state().upstreams.record_answer(now, key);
-    }
     let (status, body) = answer?;
+    let report = decode_report(&body);
+    let born = gateway.state().upstreams.get(key).entry.born;
+    match &report {
+        Ok(report) if status == 200 && report.is_of_another(born) => {
+            note_end(gateway, key, gateway.clock.now());
+        }
+        _ => note_answer(gateway, key),
+    }
     if status != 200 {
         spdlog::warn!("event=report_refused upstream={id} status={status}");
         return Err(QueryFailure::Unusable);
     }
-    decode_report(&body).map_err(|error| {
+    report.map_err(|error| {
         spdlog::warn!("event=report_decode_failed upstream={id} error=\"{error:#}\"");
         QueryFailure::Unusable
     })
@@ -428,7 +468,7 @@
         if !is_other {
             note_limit(gateway, key, limit_statement(response.headers()), sent_at);
         }
-        let answer = read_whole(response, MAX_ANSWER_BYTES).await;
+        let answer = read_whole(response, MAX_REPORT_BYTES).await;
         answer.map_err(|error| (QueryFailure::Unusable, error))
     };
     match tokio::time::timeout(Duration::from_millis(timeout_ms), exchange).await {
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -126,6 +126,7 @@
         // An error may come before the work that crashes others, and clears nothing.
         let mut state = gateway.state();
         state.crashes.record_completion(now, context.fingerprint);
+        state.silences.forget_request(context.fingerprint);
         "answered"
     } else {
         "upstream_failed"
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -26,6 +26,7 @@
 use crate::gateway::permit_table::{LimitChange, LimitSource, PermitTable};
 use crate::gateway::rate_limit::{LimitStatement, StatedLimit};
 use crate::gateway::return_schedule::{ReturnSchedule, MAX_RETURN_MS};
+use crate::gateway::silence::SilenceLedger;
 use crate::gateway::upstream::{LayerRange, UpstreamKey, UpstreamTable};
 use crate::gateway::urgent_reserve::UrgentReserve;
 use crate::verdict::{RefusalReason, RequestRefusal};
@@ -195,6 +196,8 @@
     pub permits: PermitTable,
     /// Requests whose callers left while replicas ran them.
     pub abandoned: AbandonedRuns,
+    /// Replicas that are silent under requests.
+    pub silences: SilenceLedger,
     /// Notices for the store.
     pub notices: NoticeQueue,
     /// Addresses at which other gateways receive peer messages.
@@ -231,6 +234,7 @@
             returns: HashMap::new(),
             vacancies: HashMap::new(),
             abandoned: AbandonedRuns::default(),
+            silences: SilenceLedger::default(),
             notices: NoticeQueue::default(),
             peer_addresses: Vec::new(),
             peers_read: false,
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -30,9 +30,8 @@
 const MAX_REFUSAL_PAUSE_MS: u64 = 2_000;
 /// Longest time for which an upstream stays suspect after one failure, milliseconds.
 const MAX_SUSPECT_MS: u64 = 4_000;
-/// A replica that answered none of the gateway's queries over this time is taken for dead,
-/// milliseconds. One late answer is not enough: work that runs there would be started again
-/// elsewhere.
+/// Time after which work is moved away from a replica that answered none of the gateway's queries,
+/// milliseconds. One late answer is not enough: the work would be started again elsewhere.
 const UNRESPONSIVE_MS: u64 = 450;
 /// Time for which a report that a replica is dead stays in force, milliseconds. The registry entry
 /// of a dead replica lapses within three heartbeats.
@@ -244,8 +243,14 @@
         self.unanswered_since.is_some()
     }
 
-    /// Whether the replica answered none of this gateway's queries for so long that it is taken for
-    /// dead.
+    /// When the first of the queries was sent that the replica left unanswered since its last
+    /// answer. `None` if it answered the last one.
+    pub fn unanswered_since(&self) -> Option<ClockTime> {
+        self.unanswered_since
+    }
+
+    /// Whether the replica answered none of this gateway's queries for so long that work there is
+    /// moved elsewhere where it may be.
     pub fn unresponsive(&self, now: ClockTime) -> bool {
         self.unanswered_since
             .is_some_and(|since| now.since(since) >= UNRESPONSIVE_MS)
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 
 use crate::clock::ClockTime;
+use crate::fetch::is_refused;
 use crate::gateway::attempt_ledger::AttemptFailure;
 use crate::gateway::catalog::WorkKind;
 use crate::gateway::forward::RequestContext;
@@ -19,6 +20,8 @@
 use crate::gateway::pool::{connect, UpstreamConnection};
 use crate::gateway::reroute::{check_silent_request, AttemptHealth, SILENCE_CHECK_MS};
 use crate::gateway::run::Gateway;
+use crate::gateway::silence::{CrashMark, SilentRun};
+use crate::gateway::silence_check::{note_answer, note_end, note_silence};
 use crate::gateway::state::SendTarget;
 use crate::gateway::upstream::UpstreamKey;
 use crate::platform::headers::{
@@ -41,7 +44,9 @@
     pub target: SendTarget,
     connection: Option<UpstreamConnection>,
     /// Whether a crash was recorded for the replicas that the request runs on now.
-    crash_noted: bool,
+    crash_mark: CrashMark,
+    /// One of these that fell silent, while no event came since.
+    silent: Option<UpstreamKey>,
     progress: RunProgress,
     /// What the request is to a replica that crashes under it.
     suspect: SuspectRun,
@@ -64,7 +69,8 @@
         let mut state = self.gateway.state();
         state.record_vacancy(now, &self.target);
         state.release(&self.target);
-        if self.progress.sent_at.is_some() && !self.progress.is_settled {
+        let is_remembered = self.crash_mark.is_set() || state.silences.is_open(&self.crash_mark);
+        if self.progress.sent_at.is_some() && !self.progress.is_settled && !is_remembered {
             let replica = self.target.address;
             state.abandoned.record(now, replica, self.suspect.clone());
         }
@@ -75,7 +81,7 @@
     /// Records that a replica crashed, or was cut off, while it ran the request. Replicas that run
     /// the request together are counted once, since they may have crashed for one reason.
     pub(super) fn note_crash(&mut self, context: &RequestContext, key: UpstreamKey) {
-        if std::mem::replace(&mut self.crash_noted, true) {
+        if !self.crash_mark.set() {
             return;
         }
         let is_settled = std::mem::replace(&mut self.progress.is_settled, true);
@@ -83,6 +89,37 @@
         context.end_probe();
     }
 
+    /// Records that a replica is silent while it runs the request, which is blamed if the replica turns
+    /// out to have crashed. Replicas that run the request together are counted once.
+    pub(super) fn note_silence(&mut self, context: &RequestContext, key: UpstreamKey) {
+        let is_open = self.gateway.state().silences.is_open(&self.crash_mark);
+        if is_open || self.crash_mark.is_set() {
+            return;
+        }
+        self.silent = Some(key);
+        let run = SilentRun {
+            suspect: self.suspect.clone(),
+            series: context.crash_series.clone(),
+            mark: self.crash_mark.clone(),
+            may_be_cause: !self.progress.is_settled,
+            observation: rand::random(),
+        };
+        spdlog::info!(
+            "event=silence_under_request request={} fingerprint={} upstream={} may_be_cause={}",
+            context.meta.id,
+            context.fingerprint,
+            self.gateway.state().upstreams.get(key).entry.id,
+            run.may_be_cause
+        );
+        note_silence(&self.gateway, key, Some(run));
+        context.end_probe();
+    }
+
+    /// Whether a crash was recorded for the replicas that the request runs on now.
+    pub(super) fn has_crashed(&self) -> bool {
+        self.crash_mark.is_set()
+    }
+
     /// Records how long the first event of the answer took, which is of a run from its beginning.
     pub(super) fn record_lead_time(&self, service: &str) {
         if let Some(sent_at) = self.progress.sent_at {
@@ -95,6 +132,9 @@
     /// Records that new events of the answer arrived, which comments are not. An answer that goes on shows that the parts
     /// of its prompt are sound.
     pub(super) fn record_event(&mut self) {
+        if let Some(key) = self.silent.take() {
+            note_answer(&self.gateway, key);
+        }
         if self.progress.is_settled {
             return;
         }
@@ -126,7 +166,8 @@
 
     /// Records that the request runs at another target now. Returns the previous one.
     pub(super) fn move_to(&mut self, target: SendTarget) -> SendTarget {
-        self.crash_noted = false;
+        self.crash_mark = CrashMark::default();
+        self.silent = None;
         self.progress = RunProgress {
             sent_at: self.progress.sent_at,
             ..RunProgress::default()
@@ -202,7 +243,8 @@
         gateway: gateway.clone(),
         target,
         connection: None,
-        crash_noted: false,
+        crash_mark: CrashMark::default(),
+        silent: None,
         progress: RunProgress::default(),
         suspect: context.suspect.clone(),
     };
@@ -230,10 +272,16 @@
                 let mut state = gateway.state();
                 state.upstreams.suspect(now, key);
                 let replica = attempt.target.address;
-                if state.blame_abandoned(ReplicaEnd { replica, at: now }) {
-                    gateway.peer_update.notify_one();
+                if !is_refused(error.as_ref()) {
+                    drop(state);
+                    note_silence(gateway, key, None);
+                } else {
+                    if state.blame_abandoned(ReplicaEnd { replica, at: now }) {
+                        gateway.peer_update.notify_one();
+                    }
+                    drop(state);
+                    note_end(gateway, key, now);
                 }
-                drop(state);
                 return Err(failed(AttemptFailure::NotSent));
             }
         },
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -19,6 +19,8 @@
     pub tokens: IntCounter,
     /// Number of replicas that crashed, or were cut off, while they ran a gateway's request.
     pub crashes_under_requests: IntCounter,
+    /// Silences of replicas under requests, by what came of them.
+    silences: IntCounterVec,
     /// Number of upstreams that name a limit on the requests that they take.
     pub limited_upstreams: IntGauge,
     /// Number of permits that requests to such upstreams needed, by how they were had.
@@ -80,6 +82,13 @@
             "lynxcart_crashes_under_requests_total",
             "Replicas that crashed or were cut off while they ran a request.",
         )?;
+        let silences = IntCounterVec::new(
+            Opts::new(
+                "lynxcart_silences_total",
+                "Silences of replicas under requests, by what came of them.",
+            ),
+            &["result"],
+        )?;
         let limited_upstreams = IntGauge::new(
             "lynxcart_limited_upstreams",
             "Upstreams that name a limit on the requests that they take.",
@@ -147,6 +156,7 @@
         registry.register(Box::new(in_flight.clone()))?;
         registry.register(Box::new(tokens.clone()))?;
         registry.register(Box::new(crashes_under_requests.clone()))?;
+        registry.register(Box::new(silences.clone()))?;
         registry.register(Box::new(limited_upstreams.clone()))?;
         registry.register(Box::new(permits.clone()))?;
         registry.register(Box::new(caller_bytes.clone()))?;
@@ -164,6 +174,7 @@
             in_flight,
             tokens,
             crashes_under_requests,
+            silences,
             limited_upstreams,
             permits,
             caller_bytes,
@@ -186,6 +197,11 @@
         self.room_waits.with_label_values(&labels).inc();
     }
 
+    /// Counts a silence of a replica under requests: `sound` if the replica answered, else `crash`.
+    pub fn count_silence(&self, result: &str) {
+        self.silences.with_label_values(&[result]).inc();
+    }
+
     /// Counts a permit that a request needed: `own`, `asked`, `denied` or `unanswered`.
     pub fn count_permit(&self, result: &str) {
         self.permits.with_label_values(&[result]).inc();
--- a/src/platform/order.rs
+++ b/src/platform/order.rs
@@ -15,6 +15,8 @@
 use crate::platform::headers::{chain_text, EXPECT_REPLICA};
 
 const REPORT_PATH: &str = "/api/report";
+/// Largest answer of a replica to a report query or an order, bytes.
+pub const MAX_REPORT_BYTES: usize = 256 * 1024;
 
 /// A request that makes no progress, as a replica reports it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,6 +34,8 @@
     #[serde(default)]
     sequence: u64,
     pace: Option<f64>,
+    #[serde(default)]
+    born: Value,
 }
 
 #[derive(Deserialize)]
@@ -131,6 +135,16 @@
     /// Slowdown: how many times longer than nominal its work takes; 1 if the replica does not state
     /// it.
     pub slowdown: f64,
+    /// Start of the incarnation that reports, Unix milliseconds; `None` if it is not stated.
+    pub born: Option<u64>,
+}
+
+impl ReplicaReport {
+    /// Whether the report is of another incarnation than the one that started at `born`, which is
+    /// zero if that is unknown.
+    pub fn is_of_another(&self, born: u64) -> bool {
+        born != 0 && self.born.is_some_and(|stated| stated != born)
+    }
 }
 
 /// Decodes a report from its JSON form.
@@ -149,6 +163,7 @@
         stalled: stalled.collect(),
         accepted_orders: report.sequence,
         slowdown: report.pace.unwrap_or(1.0),
+        born: report.born.as_u64(),
     })
 }
 
--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -34,6 +34,11 @@
 pub const CRASHES_FIRST: &str = "crashes the first replica";
 /// Body of a stream that crashes the last replica of its chain, also of one to which it is moved.
 pub const CRASHES_LAST: &str = "crashes the last replica";
+/// Body of a stream under which the first replica of its chain falls silent and starts again without
+/// a word.
+pub const DARKENS_FIRST: &str = "darkens the first replica";
+/// Time after which such a replica is back in a new incarnation, in milliseconds.
+const DARK_MS: u64 = 4_000;
 
 /// Part of a prompt that crashes the first replica of a chain once it has written an event on it.
 pub const CRASHING_PART: &str = "bad0";
@@ -86,6 +91,12 @@
     /// without an answer and accepts none, and its registry entry is not updated. Streams over it
     /// that are not moved to another chain by then break off when it is back.
     pub crashed: bool,
+    /// End of a silence, in which the replica accepts connections and requests but sends nothing, and
+    /// after which it goes on with all its work. A stream that has it as a later hop is reported as
+    /// stalled meanwhile. `None` before the first silence.
+    pub silent_until: Option<Instant>,
+    /// Whether the events of its streams have no ids.
+    pub omits_event_ids: bool,
     /// Fault in force, for a plain service.
     pub fault: ReplicaFault,
     /// Whether each stream is answered with the text of an error and status 200, and not run.
@@ -103,6 +114,14 @@
     pub arrivals_at: Vec<Arrival>,
 }
 
+impl ReplicaState {
+    /// Whether the replica sends nothing now, although it is sound.
+    pub fn is_silent(&self) -> bool {
+        self.silent_until
+            .is_some_and(|until| Instant::now() < until)
+    }
+}
+
 /// A request that reached a replica.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
@@ -220,6 +239,11 @@
 }
 
 impl TableData {
+    fn is_silent(&self, address: SocketAddr) -> bool {
+        let state = self.replicas.get(&address);
+        state.is_some_and(ReplicaState::is_silent)
+    }
+
     fn is_dead(&self, address: SocketAddr) -> bool {
         let state = self.replicas.get(&address);
         state.is_none_or(|state| state.dead || state.crashed)
@@ -281,6 +305,29 @@
         });
     }
 
+    /// Silences a replica, which goes on afterwards.
+    pub fn silence(&self, address: SocketAddr, length: Duration) {
+        let until = Instant::now() + length;
+        self.change(address, |state| state.silent_until = Some(until));
+    }
+
+    async fn wait_for_silence_end(&self, address: SocketAddr) {
+        while self.state(address).is_silent() {
+            tokio::time::sleep(Duration::from_millis(CRASH_POLL_MS)).await;
+        }
+    }
+
+    /// Has a replica go dark on account of a request. It is back after [`DARK_MS`].
+    fn darken(&self, address: SocketAddr) {
+        self.data().crashes.push(Instant::now());
+        self.silence(address, Duration::from_millis(DARK_MS));
+        self.change(address, |state| state.incarnation += 1);
+        let data = &mut *self.data();
+        let over_it = data.chains.iter();
+        let over_it = over_it.filter(|(_, chain)| chain.contains(&address));
+        data.cut_off.extend(over_it.map(|(id, _)| id.clone()));
+    }
+
     /// Returns the current chain of a stream; empty before the stream starts and after it ends.
     pub fn chain(&self, request: &str) -> Vec<SocketAddr> {
         self.data().chains.get(request).cloned().unwrap_or_default()
@@ -332,7 +379,9 @@
         });
         let leaving = before.leaving;
         let request_id = request.headers().get("x-attempt-id").cloned();
+        self.wait_for_silence_end(address).await;
         let mut response = self.clone().handle_request(address, request).await;
+        self.wait_for_silence_end(address).await;
         let after = self.state(address);
         if after.crashed || after.incarnation != before.incarnation {
             return no_response();
@@ -393,7 +442,9 @@
         let stalled: Vec<Value> = stalled
             .map(|(id, address)| json!({"id": id, "address": address.to_string()}))
             .collect();
-        json_response(&json!({"sequence": state.accepted_orders, "pace": 1.0, "stalled": stalled}))
+        json_response(
+            &json!({"sequence": state.accepted_orders, "pace": 1.0, "born": state.incarnation, "stalled": stalled}),
+        )
     }
 
     /// Serves `/api/order`: moves a stream to another chain (`repath`) or loads a range of layers.
@@ -522,6 +573,7 @@
         let chain: Vec<SocketAddr> = hops.iter().map(|(hop, ..)| *hop).collect();
         match (&body[..], chain.first(), chain.last()) {
             (body, Some(first), _) if body == CRASHES_FIRST.as_bytes() => self.crash(*first),
+            (body, Some(first), _) if body == DARKENS_FIRST.as_bytes() => self.darken(*first),
             (body, _, Some(last)) if body == CRASHES_LAST.as_bytes() => {
                 self.data().crashes_last.insert(id.clone());
                 self.crash(*last);
@@ -542,7 +594,9 @@
         let number = {
             let mut data = self.data();
             data.chains.insert(id.clone(), chain);
-            data.cut_off.remove(&id);
+            if body != DARKENS_FIRST {
+                data.cut_off.remove(&id);
+            }
             let number = data.runs.len();
             data.stream_numbers.insert(id.clone(), number);
             number
@@ -558,7 +612,10 @@
                 if !table.wait_for_event(address, &guard.1).await {
                     return Some((Err(io::Error::other("died")), (event_count + 1, guard)));
                 }
-                let event = format!("id: {next}\ndata: token {next}\n\n");
+                let event = match table.state(address).omits_event_ids {
+                    true => format!("data: token {next}\n\n"),
+                    false => format!("id: {next}\ndata: token {next}\n\n"),
+                };
                 Some((Ok(Frame::data(Bytes::from(event))), (next + 1, guard)))
             }
         });
@@ -575,11 +632,15 @@
         loop {
             tokio::time::sleep(Duration::from_millis(EVENT_INTERVAL_MS)).await;
             let mut data = self.data();
+            if data.is_silent(first) {
+                continue;
+            }
             if data.is_dead(first) || data.cut_off.contains(id) {
                 return false;
             }
             let chain = data.chains.get(id).cloned().unwrap_or_default();
-            match chain.into_iter().find(|hop| data.is_dead(*hop)) {
+            let holds_up = |hop: &SocketAddr| data.is_dead(*hop) || data.is_silent(*hop);
+            match chain.into_iter().find(holds_up) {
                 Some(hop) => {
                     data.stalled.insert(id.to_owned(), hop);
                 }
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -269,7 +269,7 @@
         tokio::spawn(async move {
             for heartbeat_number in 0_u64.. {
                 let state = replicas.state(address);
-                if !state.dead && !state.crashed {
+                if !state.dead && !state.crashed && !state.is_silent() {
                     let kind = if service == "model" { "card" } else { "" };
                     let entry = json!({
                         "service": service, "address": address.to_string(), "zone": domain,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -23,6 +23,7 @@
 mod plan;
 mod repair;
 mod return_schedule;
+mod silence;
 mod stampede;
 mod state;
 mod store_position;
--- a/tests/gateway/state.rs
+++ b/tests/gateway/state.rs
@@ -26,7 +26,7 @@
     answer_hint: None,
 };
 
-fn state() -> GatewayState {
+pub(crate) fn state() -> GatewayState {
     GatewayState::new(GatewaySetup {
         domain: "a".to_owned(),
         revoke_ms: Some(5_000),
