Use a replica again once it answers after a silence

What callers saw: new streams were refused with 503 ("no replicas of the service have room") for seconds after all replicas had gone on.

Cause: a silence makes a replica suspect for 1 s, and for twice as long each time, up to 4 s, unless an exchange succeeds in between. Only first replicas of chains have exchanges, so a later one that fell silent a few times was left out for 4 s each time, and with its twin in the other failure domain no chain was left.

Why this works: the answer that ends a silence shows that the suspicion was wrong, so it is lifted and its doubling starts anew. A report of another replica that it is dead stays in force until a heartbeat refutes it, since a replica that answers here may be cut off from others.

--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -211,10 +211,12 @@
     }
 
     /// Records a sign of life of a replica. Returns the silence that it ends, if any, for which no
-    /// request is to blame.
+    /// request is to blame, and after which the replica is used again at once.
     pub fn record_answer(&mut self, now: ClockTime, key: UpstreamKey) -> Option<Silence> {
         self.upstreams.record_answer(now, key);
-        self.silences.take(key)
+        let silence = self.silences.take(key)?;
+        self.upstreams.lift_suspicion(now, key);
+        Some(silence)
     }
 
     /// Records that a replica ended at `at`, and blames the requests that it was running when it fell
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -511,6 +511,17 @@
         }
     }
 
+    /// Ends the suspicion of an upstream that answers again. A report that it is dead stays in force: it
+    /// may be cut off from others.
+    pub fn lift_suspicion(&mut self, now: ClockTime, key: UpstreamKey) {
+        let record = &mut self.records[key.0 as usize];
+        record.suspicions = 0;
+        if now < record.suspect_until {
+            record.suspect_until = now;
+            self.version += 1;
+        }
+    }
+
     /// Records a replica's report to this gateway that another replica is dead or cut off.
     pub fn report_dead(&mut self, now: ClockTime, key: UpstreamKey) {
         self.record_death(
--- a/tests/gateway/silence.rs
+++ b/tests/gateway/silence.rs
@@ -140,6 +140,29 @@
         .is_exhausted());
 }
 
+#[test]
+fn replica_that_answers_after_a_silence_is_used_again_at_once() {
+    let mut state = state();
+    let key = keys(&state, 1)[0];
+    let mut now = NOW;
+    for number in 0..6 {
+        state.upstreams.suspect(now, key);
+        let run = run_of(request(1), &SharedSeries::default(), number);
+        state.record_silence(now, key, Some(run), || 0);
+        assert!(!state.upstreams.get(key).usable(now));
+        now = now + 600;
+        assert!(state.record_answer(now, key).is_some());
+        assert!(state.upstreams.get(key).usable(now), "silence {number}");
+        now = now + 100;
+    }
+    // One that others report as dead may be cut off from them.
+    state.upstreams.report_dead(now, key);
+    let run = run_of(request(1), &SharedSeries::default(), 7);
+    state.record_silence(now, key, Some(run), || 0);
+    state.record_answer(now + 600, key);
+    assert!(!state.upstreams.get(key).usable(now + 600));
+}
+
 #[test]
 fn request_is_quarantined_once_as_many_of_its_silent_replicas_have_ended() {
     let mut state = state();
