Keep the silences of one replica apart in the test of silent replicas

The test silenced the replica that a stream had been moved to even if it was silent already, which made one silence of two: 2.8 s where 1.5 s were meant (run of 15:05, replica i-5 at 15:04:43.1 and again at 15:04:44.4). A crash was counted for it, as it is to be after 2 s: the case is not the one that the test states. Each replica now goes on for 0.3 s between two silences. The number of turns, the lengths and what is asserted are as before.

--- a/standins/tests/silent_replica.rs
+++ b/standins/tests/silent_replica.rs
@@ -17,6 +17,8 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Retries that may reach replicas after that time.
 const MAX_LATE_RETRIES: usize = 3;
+/// Time for which a replica goes on between two silences.
+const WORK_TIME: Duration = Duration::from_millis(300);
 /// Pause of a caller between two tries of a request.
 const CALLER_PAUSE: Duration = Duration::from_millis(600);
 
@@ -92,6 +94,14 @@
         .unwrap_or_else(|| panic!("{name} is not among the metrics"))
 }
 
+/// Waits until a replica has gone on for some time after its last silence, if there was one.
+async fn wait_until_it_goes_on(site: &TestSite, replica: SocketAddr) {
+    let state = site.replicas.state(replica);
+    if let Some(until) = state.silent_until {
+        tokio::time::sleep_until((until + WORK_TIME).into()).await;
+    }
+}
+
 fn silence_all(site: &TestSite, replicas: &[SocketAddr], length: Duration) {
     for replica in replicas {
         site.replicas.silence(*replica, length);
@@ -145,6 +155,7 @@
                         0 => chain[0],
                         _ => chain[chain.len() - 1],
                     };
+                    wait_until_it_goes_on(&site, hop).await;
                     site.replicas.silence(hop, length);
                     // Until the stream is moved, or the silence over.
                     for _ in 0..silence_ms / 20 {
