Take the reset of a query for no crash of its replica

What callers saw: streams were broken off, answered 502, and refused with 503 for ten minutes, where sound replicas that paused for 0.6 s had also reset the gateway's queries, as a replica does that has as many connections as it takes, or one that closes a connection for being idle.

Cause: any failure of a report query or health check other than a timeout counted as a crash at once. Only a refused connection shows that nothing listens there.

Why this works: a reset is told apart from a refusal. It is as little an answer as a timeout: the work is moved once none came for 450 ms, and the replica is asked as a silent one. Resets alone never confirm a crash: a silence that nothing explains by its bound is forgotten, as verdict=unclear, and does not lift the suspicion. A first replica that crashes resets its streams themselves, which is counted as before, and refuses the next connection.

--- a/src/gateway/chain_probe.rs
+++ b/src/gateway/chain_probe.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::clock::ClockTime;
+use crate::fetch::is_refused;
 use crate::gateway::chain::ChainHop;
 use crate::gateway::run::Gateway;
 use crate::gateway::upstream::UpstreamKey;
@@ -29,9 +30,10 @@
 pub enum ProbeOutcome {
     /// It answered.
     Answered,
-    /// The connection was refused or reset.
+    /// The connection was refused.
     Refused,
-    /// Nothing within the time.
+    /// Nothing within the time, or the connection was reset, as by a replica that has as many as it
+    /// takes.
     Silent,
 }
 
@@ -101,8 +103,8 @@
     let limit = Duration::from_millis(PROBE_TIMEOUT_MS);
     match tokio::time::timeout(limit, gateway.client.request(request)).await {
         Ok(Ok(_)) => ProbeOutcome::Answered,
-        Ok(Err(_)) => ProbeOutcome::Refused,
-        Err(_) => ProbeOutcome::Silent,
+        Ok(Err(error)) if is_refused(&error) => ProbeOutcome::Refused,
+        Ok(Err(_)) | Err(_) => ProbeOutcome::Silent,
     }
 }
 
--- a/src/gateway/reroute.rs
+++ b/src/gateway/reroute.rs
@@ -10,7 +10,7 @@
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
 
-use crate::fetch::read_whole;
+use crate::fetch::{is_refused, read_whole};
 use crate::gateway::chain_probe::{find_unreachable, probe_replica, ProbeOutcome};
 use crate::gateway::forward::RequestContext;
 use crate::gateway::notice::{note_leaving, note_limit};
@@ -92,19 +92,22 @@
             state.upstreams.suspect(now, first);
             let unresponsive = state.upstreams.get(first).unresponsive(gateway.clock.now());
             drop(state);
+            let is_given_up = match failure {
+                // A replica that is only slow to answer goes on with its work.
+                QueryFailure::TimedOut | QueryFailure::Reset => unresponsive,
+                QueryFailure::Refused | QueryFailure::Unusable | QueryFailure::Limited => true,
+            };
             spdlog::warn!(
-                "event=first_replica_unresponsive request={} upstream={} failure={failure:?} given_up={}",
+                "event=first_replica_unresponsive request={} upstream={} failure={failure:?} given_up={is_given_up}",
                 context.meta.id,
                 attempt.target.upstream_id,
-                unresponsive || failure != QueryFailure::TimedOut
             );
-            // A replica that is only slow to answer goes on with its work.
-            if failure == QueryFailure::TimedOut && !unresponsive {
+            if !is_given_up {
                 return AttemptHealth::Alive;
             }
             match failure {
-                QueryFailure::Failed => attempt.note_crash(context, first),
-                QueryFailure::TimedOut => {
+                QueryFailure::Refused => attempt.note_crash(context, first),
+                QueryFailure::TimedOut | QueryFailure::Reset => {
                     attempt.note_silence(context, first);
                     if let Some(health) = barred_health(gateway, context, attempt) {
                         return health;
@@ -299,8 +302,11 @@
 pub enum QueryFailure {
     /// No answer arrived in time.
     TimedOut,
-    /// The connection was refused or reset.
-    Failed,
+    /// The connection was refused.
+    Refused,
+    /// The connection was reset or closed. A replica that has as many connections as it takes resets new
+    /// ones, and a kept one may end for being idle.
+    Reset,
     /// The answer is not usable: a refusal, too large or malformed.
     Unusable,
     /// It was not sent, since the replica takes no more requests now.
@@ -449,7 +455,7 @@
 ) -> Result<(u16, Bytes), QueryFailure> {
     let request = request.map_err(|error| {
         spdlog::error!("event=replica_request_encode_failed error=\"{error:#}\"");
-        QueryFailure::Failed
+        QueryFailure::Unusable
     })?;
     let sent_at = gateway.clock.now();
     // An order must not be answered by an earlier refusal that comes once more.
@@ -459,7 +465,10 @@
     };
     let exchange = async {
         let response = client.request(request).await;
-        let response = response.map_err(|error| (QueryFailure::Failed, eyre!(error)))?;
+        let response = response.map_err(|error| match is_refused(&error) {
+            true => (QueryFailure::Refused, eyre!(error)),
+            false => (QueryFailure::Reset, eyre!(error)),
+        })?;
         // A 421 comes from another replica, which has the address now.
         let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST;
         if !is_other && is_leaving(response.headers()) {
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -67,12 +67,13 @@
 pub enum AskOutcome {
     /// The replica answered.
     Answered,
-    /// The connection was refused or reset, or another incarnation answered.
+    /// The connection was refused, or another incarnation answered.
     Ended,
     /// Nothing came in time.
     Silent,
-    /// It was not sent, since the replica takes no more requests now.
-    NotSent,
+    /// It was not sent, since the replica takes no more requests now, or the connection was reset, as by
+    /// a replica that has as many as it takes.
+    Unclear,
 }
 
 /// What is to be done about a silent replica after a query.
@@ -80,8 +81,10 @@
 pub enum SilenceVerdict {
     /// It is asked again.
     Open,
-    /// Nothing shows that it crashed.
+    /// It goes on.
     Sound,
+    /// Nothing shows whether it goes on or crashed.
+    Unclear,
     /// It crashed, or has been cut off for long.
     Ended,
 }
@@ -171,8 +174,8 @@
         AskOutcome::Silent if now >= due && asked_at + ASK_TIMEOUT_MS >= due => {
             SilenceVerdict::Ended
         }
-        AskOutcome::NotSent if now >= due => SilenceVerdict::Sound,
-        AskOutcome::Silent | AskOutcome::NotSent => SilenceVerdict::Open,
+        AskOutcome::Unclear if now >= due => SilenceVerdict::Unclear,
+        AskOutcome::Silent | AskOutcome::Unclear => SilenceVerdict::Open,
     }
 }
 
--- a/src/gateway/silence_check.rs
+++ b/src/gateway/silence_check.rs
@@ -33,15 +33,38 @@
 pub(super) fn note_answer(gateway: &Gateway, key: UpstreamKey) {
     let now = gateway.clock.now();
     let mut state = gateway.state();
-    let Some(silence) = state.record_answer(now, key) else {
-        return;
-    };
-    gateway.metrics.count_silence("sound");
+    if let Some(silence) = state.record_answer(now, key) {
+        let id = &state.upstreams.get(key).entry.id;
+        record_silence_end(
+            gateway,
+            id,
+            "sound",
+            now.since(silence.since),
+            silence.runs.len(),
+        );
+    }
+}
+
+/// Forgets the silence of a replica of which nothing shows whether it crashed.
+fn forget_silence(gateway: &Gateway, key: UpstreamKey) {
+    let now = gateway.clock.now();
+    let mut state = gateway.state();
+    if let Some(silence) = state.silences.take(key) {
+        let id = &state.upstreams.get(key).entry.id;
+        record_silence_end(
+            gateway,
+            id,
+            "unclear",
+            now.since(silence.since),
+            silence.runs.len(),
+        );
+    }
+}
+
+fn record_silence_end(gateway: &Gateway, id: &str, verdict: &str, silent_ms: u64, runs: usize) {
+    gateway.metrics.count_silence(verdict);
     spdlog::info!(
-        "event=silence_ended id={} verdict=sound silent_ms={} runs={}",
-        state.upstreams.get(key).entry.id,
-        now.since(silence.since),
-        silence.runs.len()
+        "event=silence_ended id={id} verdict={verdict} silent_ms={silent_ms} runs={runs}"
     );
 }
 
@@ -59,12 +82,7 @@
     if blamed.is_empty() {
         return;
     }
-    gateway.metrics.count_silence("crash");
-    spdlog::info!(
-        "event=silence_ended id={id} verdict=crash silent_ms={} runs={}",
-        now.since(since),
-        blamed.len()
-    );
+    record_silence_end(gateway, &id, "crash", now.since(since), blamed.len());
     for run in blamed {
         let fingerprint = run.fingerprint;
         gateway.metrics.crashes_under_requests.inc();
@@ -103,6 +121,7 @@
         match judge_silence(since, asked_at, now, outcome) {
             SilenceVerdict::Sound => return note_answer(&gateway, key),
             SilenceVerdict::Ended => return note_end(&gateway, key, since),
+            SilenceVerdict::Unclear => return forget_silence(&gateway, key),
             SilenceVerdict::Open => {}
         }
         if now.since(asked_at) < ASK_PAUSE_MS {
@@ -115,7 +134,7 @@
 /// themselves.
 async fn ask(gateway: &Gateway, key: UpstreamKey, timeout_ms: u64) -> AskOutcome {
     if !acquire_permit(gateway, key).await {
-        return AskOutcome::NotSent;
+        return AskOutcome::Unclear;
     }
     let (address, born) = {
         let state = gateway.state();
@@ -123,17 +142,16 @@
         (entry.address, entry.born)
     };
     let Ok(request) = report_request(address) else {
-        return AskOutcome::NotSent;
+        return AskOutcome::Unclear;
     };
     let exchange = async {
         let response = match gateway.unpooled_client.request(request).await {
             Ok(response) => response,
             Err(error) if is_refused(&error) => return AskOutcome::Ended,
-            // A replica that has too many connections resets new ones.
-            Err(_) => return AskOutcome::Silent,
+            Err(_) => return AskOutcome::Unclear,
         };
         let Ok(response) = read_whole(response, MAX_REPORT_BYTES).await else {
-            return AskOutcome::Silent;
+            return AskOutcome::Unclear;
         };
         let report = decode_report(response.body()).ok();
         match report.is_some_and(|report| report.is_of_another(born)) {
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -197,7 +197,8 @@
         self.room_waits.with_label_values(&labels).inc();
     }
 
-    /// Counts a silence of a replica under requests: `sound` if the replica answered, else `crash`.
+    /// Counts a silence of a replica under requests: `sound` if the replica answered, `crash` if it
+    /// ended, or `unclear`.
     pub fn count_silence(&self, result: &str) {
         self.silences.with_label_values(&[result]).inc();
     }
--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -95,6 +95,9 @@
     /// after which it goes on with all its work. A stream that has it as a later hop is reported as
     /// stalled meanwhile. `None` before the first silence.
     pub silent_until: Option<Instant>,
+    /// Whether it closes the connections of queries and health checks while it is silent, as one does
+    /// that has as many connections as it takes.
+    pub resets_queries: bool,
     /// Whether the events of its streams have no ids.
     pub omits_event_ids: bool,
     /// Fault in force, for a plain service.
@@ -379,6 +382,10 @@
         });
         let leaving = before.leaving;
         let request_id = request.headers().get("x-attempt-id").cloned();
+        let is_query = matches!(request.uri().path(), "/api/report" | "/healthz");
+        if is_query && before.resets_queries && before.is_silent() {
+            return no_response();
+        }
         self.wait_for_silence_end(address).await;
         let mut response = self.clone().handle_request(address, request).await;
         self.wait_for_silence_end(address).await;
