--- a/src/gateway/chain_probe.rs
+++ b/src/gateway/chain_probe.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::clock::ClockTime;
+use crate::fetch::is_refused;
 use crate::gateway::chain::ChainHop;
 use crate::gateway::run::Gateway;
 use crate::gateway::upstream::UpstreamKey;
@@ -29,9 +30,10 @@
 pub enum ProbeOutcome {
     /// It answered.
     Answered,
-    /// The connection was refused or reset.
+    /// The connection was refused.
     Refused,
-    /// Nothing within the time.
+    /// Nothing within the time, or the connection was reset, as by a replica that has as many as it
+    /// takes.
     Silent,
 }
 
@@ -101,14 +103,28 @@
     let limit = Duration::from_millis(PROBE_TIMEOUT_MS);
     match tokio::time::timeout(limit, gateway.client.request(request)).await {
         Ok(Ok(_)) => ProbeOutcome::Answered,
-        Ok(Err(_)) => ProbeOutcome::Refused,
-        Err(_) => ProbeOutcome::Silent,
+        Ok(Err(error)) if is_refused(&error) => ProbeOutcome::Refused,
+        Ok(Err(_)) | Err(_) => ProbeOutcome::Silent,
     }
 }
 
-/// Asks the later replicas of a chain whether they are there. Returns those that are not. Replicas with a
-/// limit on their requests are not asked.
-pub async fn find_unreachable(gateway: &Arc<Gateway>, chain: &[ChainHop]) -> Vec<UpstreamKey> {
+/// Asks a replica whether it is there, unless it was asked just before or has a limit on its requests.
+/// `None` if it was not asked.
+pub async fn probe_replica(gateway: &Arc<Gateway>, key: UpstreamKey) -> Option<ProbeOutcome> {
+    if gateway.state().permits.is_limited(key) {
+        return None;
+    }
+    let mut outcome = gateway.probes.ask(gateway, key);
+    let settled = outcome.wait_for(Option::is_some).await;
+    settled.ok().and_then(|outcome| *outcome)
+}
+
+/// Asks the later replicas of a chain whether they are there. Returns those that are not, and what
+/// shows it. Replicas with a limit on their requests are not asked.
+pub async fn find_unreachable(
+    gateway: &Arc<Gateway>,
+    chain: &[ChainHop],
+) -> Vec<(UpstreamKey, ProbeOutcome)> {
     let later: Vec<UpstreamKey> = {
         let state = gateway.state();
         let keys = chain.iter().skip(1).map(|hop| hop.upstream);
@@ -127,5 +143,7 @@
     if gateway.state().own_delay.delay_ms() >= MAX_OWN_DELAY_MS {
         return Vec::new();
     }
-    judge_probes(&outcomes)
+    let unreachable = judge_probes(&outcomes);
+    outcomes.retain(|(key, _)| unreachable.contains(key));
+    outcomes
 }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -30,9 +30,8 @@
 const MAX_REFUSAL_PAUSE_MS: u64 = 2_000;
 /// Longest time for which an upstream stays suspect after one failure, milliseconds.
 const MAX_SUSPECT_MS: u64 = 4_000;
-/// A replica that answered none of the gateway's queries over this time is taken for dead,
-/// milliseconds. One late answer is not enough: work that runs there would be started again
-/// elsewhere.
+/// Time after which work is moved away from a replica that answered none of the gateway's queries,
+/// milliseconds. One late answer is not enough: the work would be started again elsewhere.
 const UNRESPONSIVE_MS: u64 = 450;
 /// Time for which a report that a replica is dead stays in force, milliseconds. The registry entry
 /// of a dead replica lapses within three heartbeats.
@@ -244,8 +243,14 @@
         self.unanswered_since.is_some()
     }
 
-    /// Whether the replica answered none of this gateway's queries for so long that it is taken for
-    /// dead.
+    /// When the first of the queries was sent that the replica left unanswered since its last
+    /// answer. `None` if it answered the last one.
+    pub fn unanswered_since(&self) -> Option<ClockTime> {
+        self.unanswered_since
+    }
+
+    /// Whether the replica answered none of this gateway's queries for so long that work there is
+    /// moved elsewhere where it may be.
     pub fn unresponsive(&self, now: ClockTime) -> bool {
         self.unanswered_since
             .is_some_and(|since| now.since(since) >= UNRESPONSIVE_MS)
@@ -506,6 +511,17 @@
         }
     }
 
+    /// Ends the suspicion of an upstream that answers again. A report that it is dead stays in force: it
+    /// may be cut off from others.
+    pub fn lift_suspicion(&mut self, now: ClockTime, key: UpstreamKey) {
+        let record = &mut self.records[key.0 as usize];
+        record.suspicions = 0;
+        if now < record.suspect_until {
+            record.suspect_until = now;
+            self.version += 1;
+        }
+    }
+
     /// Records a replica's report to this gateway that another replica is dead or cut off.
     pub fn report_dead(&mut self, now: ClockTime, key: UpstreamKey) {
         self.record_death(
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -24,6 +24,7 @@
 mod repair;
 mod return_schedule;
 mod shutdown;
+mod silence;
 mod stampede;
 mod state;
 mod store_position;
