Let replicas that write by hand end a connection inside an answer

RawReplica could cut a stream or a body, but no head, chunk or trailer, and neither its reports nor its orders. CutAnswer writes a text as it stands and closes or resets the connection; CutTable does so for the requests that it names and leaves the others, and so the kept connections, whole. The floods move to a file of their own.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,9 +6,11 @@
 //! (`site`), the key-value store and the replicas are tasks of the test or benchmark process.
 
 pub mod counting_allocator;
+mod cut;
 pub mod direct;
 pub mod engine;
 pub mod fleet;
+mod flood;
 pub mod gateway_scaling;
 pub mod kv;
 pub mod load;
--- a/standins/src/raw.rs
+++ b/standins/src/raw.rs
@@ -13,6 +13,9 @@
 use crate::kv::KvServer;
 use crate::replica::{ReplicaState, ReplicaTable};
 
+pub use crate::cut::{ConnectionEnd, CutAnswer, CutTable};
+pub use crate::flood::Flood;
+
 /// How a replica answers callers' requests.
 #[derive(Clone, Copy, Debug)]
 pub enum RawBehaviour {
@@ -52,6 +55,10 @@
     /// comes first. When it comes again on a connection that was used before, the refusal is
     /// written once more before the answer.
     RefusesAgain,
+    /// Writes an answer as it stands and ends the connection.
+    Cuts(CutAnswer),
+    /// Does so for the requests that the table names, and answers the others whole.
+    CutsSome(CutTable),
     /// Writes an answer as it stands, with `{id}` replaced by the id of the request.
     Writes(&'static str),
     /// Sends whole events of a stream, as many as the caller asks for.
@@ -61,48 +68,11 @@
     },
 }
 
-/// Bytes without an end that are no answer, written until the caller closes the connection.
+/// What a replica sends in place of its answers to reports and orders.
 #[derive(Clone, Copy, Debug)]
-pub enum Flood {
-    /// One line of a response head.
-    HeaderLine,
-    /// Lines of a response head.
-    Headers,
-    /// Heads of responses that only announce another one.
-    InformationalHeads,
-    /// A body that ends with its connection.
-    Body,
-    /// A body in chunks.
-    ChunkedBody,
-    /// The extension of a chunk's length.
-    ChunkExtension,
-    /// An event of a stream.
-    Event,
-    /// Comments of a stream, which are no events.
-    Comments,
-}
-
-impl Flood {
-    /// The text before the flood, and the text that is repeated without an end.
-    fn texts(self, id: &str) -> (String, String) {
-        let status = "HTTP/1.1 200 OK\r\n";
-        let known = format!("x-attempt-id: {id}\r\nx-replica-stamp: stamp\r\n");
-        let filler = "x".repeat(4_000);
-        let chunk = |data: &str| format!("{:x}\r\n{data}\r\n", data.len());
-        match self {
-            Flood::HeaderLine => (format!("{status}x-line: "), filler),
-            Flood::Headers => (status.to_owned(), "x-line: some value\r\n".repeat(200)),
-            Flood::InformationalHeads => (String::new(), "HTTP/1.1 103 Early\r\n\r\n".repeat(200)),
-            Flood::Body => (format!("{status}{known}\r\n"), filler),
-            Flood::ChunkedBody => (stream_head(id), chunk(&filler)),
-            Flood::ChunkExtension => (format!("{}5;x=", stream_head(id)), filler),
-            Flood::Event => {
-                let start = format!("{}{}", stream_head(id), chunk("id: 1\ndata: "));
-                (start, chunk(&filler))
-            }
-            Flood::Comments => (stream_head(id), chunk(&": x\n\n".repeat(800))),
-        }
-    }
+enum QueryFault {
+    Flood(Flood),
+    Cut(CutAnswer),
 }
 
 /// A replica that writes its answers by hand.
@@ -113,8 +83,8 @@
     behaviour: RawBehaviour,
     /// Delay of its answers to report queries; `None` leaves them unanswered.
     report_delay_ms: Option<u64>,
-    /// Flood in place of the answers to reports and orders; `None` for proper ones.
-    query_flood: Option<Flood>,
+    /// Fault of the answers to reports and orders; `None` for proper ones.
+    query_fault: Option<QueryFault>,
     /// Number of reports and orders received.
     queries: Arc<AtomicUsize>,
     /// Number of connections on which a flood is being written.
@@ -125,6 +95,8 @@
     orders_on_kept: Arc<AtomicUsize>,
     /// Ids of the requests received, in order.
     received: Arc<Mutex<Vec<String>>>,
+    /// Number of requests received on a connection that was used before.
+    received_on_kept: Arc<AtomicUsize>,
 }
 
 impl RawReplica {
@@ -149,25 +121,38 @@
         behaviour: RawBehaviour,
         flood: Flood,
     ) -> eyre::Result<RawReplica> {
-        RawReplica::start_with(behaviour, Some(0), Some(flood)).await
+        RawReplica::start_with(behaviour, Some(0), Some(QueryFault::Flood(flood))).await
+    }
+
+    /// Starts a replica whose answers to reports and orders end before they are whole.
+    ///
+    /// # Errors
+    ///
+    /// If its listener cannot be opened.
+    pub async fn start_cutting_queries(
+        behaviour: RawBehaviour,
+        cut: CutAnswer,
+    ) -> eyre::Result<RawReplica> {
+        RawReplica::start_with(behaviour, Some(0), Some(QueryFault::Cut(cut))).await
     }
 
     async fn start_with(
         behaviour: RawBehaviour,
         report_delay_ms: Option<u64>,
-        query_flood: Option<Flood>,
+        query_fault: Option<QueryFault>,
     ) -> eyre::Result<RawReplica> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let replica = RawReplica {
             address: listener.local_addr()?,
             behaviour,
             report_delay_ms,
-            query_flood,
+            query_fault,
             queries: Arc::default(),
             floods: Arc::default(),
             orders: Arc::default(),
             orders_on_kept: Arc::default(),
             received: Arc::default(),
+            received_on_kept: Arc::default(),
         };
         let server = replica.clone();
         tokio::spawn(async move {
@@ -201,7 +186,12 @@
 
     /// Registers the replica as an accelerator that holds no layers, so that it is sent orders.
     pub fn register_empty(&self, store: &KvServer) {
-        self.write_entry(store, "i-raw", "model", "card", 0);
+        self.register_empty_as("i-raw", store);
+    }
+
+    /// Registers the replica under an id, see [`Self::register_empty`].
+    pub fn register_empty_as(&self, id: &str, store: &KvServer) {
+        self.write_entry(store, id, "model", "card", 0);
     }
 
     fn write_entry(&self, store: &KvServer, id: &str, service: &str, kind: &str, layers: u64) {
@@ -233,6 +223,11 @@
         self.orders_on_kept.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of requests received so far on a connection that was used before.
+    pub fn received_on_kept(&self) -> usize {
+        self.received_on_kept.load(Ordering::Relaxed)
+    }
+
     /// Returns the ids of the requests received so far.
     pub fn received(&self) -> Vec<String> {
         let received = self.received.lock().unwrap_or_else(PoisonError::into_inner);
@@ -278,8 +273,10 @@
     async fn answer(&self, stream: &mut TcpStream, request: &RawRequest) -> std::io::Result<()> {
         if request.path.starts_with("/api/") {
             self.queries.fetch_add(1, Ordering::Relaxed);
-            if let Some(flood) = self.query_flood {
-                return self.write_flood(stream, flood, "").await;
+            match self.query_fault {
+                Some(QueryFault::Flood(flood)) => return self.write_flood(stream, flood, "").await,
+                Some(QueryFault::Cut(cut)) => return cut.write(stream, "").await,
+                None => {}
             }
         }
         if request.path.starts_with("/api/report") {
@@ -299,6 +296,8 @@
         let id = &request.id;
         let is_again = self.received().contains(id);
         self.record(id);
+        let is_kept = usize::from(request.is_kept);
+        self.received_on_kept.fetch_add(is_kept, Ordering::Relaxed);
         match self.behaviour {
             RawBehaviour::AnswersTwice {
                 with_id,
@@ -376,18 +375,21 @@
                     }
                 }
             }
+            RawBehaviour::Cuts(cut) => cut.write(stream, id).await,
+            RawBehaviour::CutsSome(table) => match table.answer(id) {
+                Some(cut) => cut.write(stream, id).await,
+                None if request.event_count > 0 => write_events(stream, request, 0).await,
+                None => {
+                    let answer = response(id, &request.body);
+                    stream.write_all(answer.as_bytes()).await
+                }
+            },
             RawBehaviour::Writes(answer) => {
                 let answer = answer.replace("{id}", id);
                 stream.write_all(answer.as_bytes()).await
             }
             RawBehaviour::Streams { interval_ms } => {
-                stream.write_all(stream_head(id).as_bytes()).await?;
-                for number in request.first_event..=request.event_count {
-                    tokio::time::sleep(Duration::from_millis(interval_ms)).await;
-                    let event = format!("id: {number}\ndata: token {number}\n\n");
-                    write_chunk(stream, &event).await?;
-                }
-                stream.write_all(b"0\r\n\r\n").await
+                write_events(stream, request, interval_ms).await
             }
         }
     }
@@ -414,13 +416,30 @@
     )
 }
 
-fn stream_head(id: &str) -> String {
+pub(crate) fn stream_head(id: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-replica-stamp: stamp\r\n\
          content-type: {EVENT_STREAM}\r\ntransfer-encoding: chunked\r\n\r\n"
     )
 }
 
+/// Writes a whole stream of the events that the caller has not got yet.
+async fn write_events(
+    stream: &mut TcpStream,
+    request: &RawRequest,
+    interval_ms: u64,
+) -> std::io::Result<()> {
+    stream
+        .write_all(stream_head(&request.id).as_bytes())
+        .await?;
+    for number in request.first_event..=request.event_count {
+        tokio::time::sleep(Duration::from_millis(interval_ms)).await;
+        let event = format!("id: {number}\ndata: token {number}\n\n");
+        write_chunk(stream, &event).await?;
+    }
+    stream.write_all(b"0\r\n\r\n").await
+}
+
 async fn write_chunk(stream: &mut TcpStream, data: &str) -> std::io::Result<()> {
     let chunk = format!("{:x}\r\n{data}\r\n", data.len());
     stream.write_all(chunk.as_bytes()).await
