Learn from every fault of an answer, not only from those of its head

What callers saw: beside replicas whose answers fail fast, up to two of three requests got a 502 ("the budget of repeats is used up"), although the sound replicas had room.

Cause: an exchange counted as a success once its head was valid. That reset the failures in a row, and nothing was learned from a body that broke off, had broken chunks or no end, nor from a stream that was no stream, ended inside an event or before the first. Such a replica is idle again at once, looks free, and draws ever more requests. An answer that found no room at the gateway counted as nothing at all.

Why it works: every end of an exchange is an ExchangeEnd, and what it shows is decided in one place. Only a whole answer, or a new event of a stream, is a success. Broken, invalid and oversized answers are faults wherever they are found. An answer without room is no fault, but lowers the replica's share. A deadline that passed, a caller who left, and a continuation without an event show nothing. After several faults in a row a plain replica is tried by one request at a time until one succeeds, and its failure rate halves in 4 s, so that one that gets no requests for its failures gets its share again. If all replicas fail, requests are still tried.

Comments before the first event no longer count as progress of a stream.

New: event=upstream_failing when faults make an upstream suspect, and the metric lynxcart_failed_exchanges_total by end.

tests/gateway/upstream.rs calls record_exchange in place of the two methods that it replaces, with the same checks and bounds.

--- a/src/gateway/chain.rs
+++ b/src/gateway/chain.rs
@@ -351,7 +351,7 @@
     Some(
         (query.expected_answer_tokens * hop_step_ms + prefill_ms)
             * wait_factor
-            * (1.0 + record.failure_rate * FAILURE_FACTOR),
+            * (1.0 + record.failure_rate(query.now) * FAILURE_FACTOR),
     )
 }
 
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -36,6 +36,8 @@
 struct StreamPlace {
     /// Id of the last event passed on, or the one to continue after.
     last: Option<u64>,
+    /// Number of events passed on that were not passed on before.
+    events: u64,
     /// Whether an event without an id was passed on.
     has_unnumbered: bool,
     /// Whether the present run has brought an event that was not passed on before.
@@ -59,6 +61,11 @@
         self.place.last
     }
 
+    /// Number of events passed on so far, without comments and those that came again.
+    pub fn event_count(&self) -> u64 {
+        self.place.events
+    }
+
     /// Whether the beginning of an incomplete event is buffered.
     pub fn has_partial_event(&self) -> bool {
         self.partial.iter().any(|byte| !is_line_end(*byte))
@@ -120,13 +127,17 @@
                 EventKind::Unnumbered if self.is_continuation => {
                     return Err(StreamError::Unnumbered);
                 }
-                EventKind::Unnumbered => place.has_unnumbered = true,
+                EventKind::Unnumbered => {
+                    place.events += 1;
+                    place.has_unnumbered = true;
+                }
                 EventKind::Numbered(id) => match place.last {
                     // The stream of a new run may begin with events that were already passed on.
                     Some(last) if id <= last && !place.has_progressed => keep = end,
                     Some(last) if id <= last => return Err(StreamError::Repeated),
                     Some(last) if id - last > 1 => return Err(StreamError::Gap),
                     _ => {
+                        place.events += 1;
                         place.last = Some(id);
                         place.has_progressed = true;
                     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod discovery;
 pub mod doubt;
 pub mod event_stream;
+pub mod exchange_record;
 pub mod forward;
 pub mod freshness;
 pub mod held_plan;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -16,6 +16,7 @@
 use crate::clock::ClockTime;
 use crate::gateway::attempt_ledger::{AttemptFailure, AttemptLedger, NextStep};
 use crate::gateway::event_stream::EventSplitter;
+use crate::gateway::exchange_record::ExchangeEnd;
 use crate::gateway::forward::{start_attempt, AttemptError, RequestContext, StreamResume};
 use crate::gateway::reroute::{
     check_silent_request, reroute_from_shedding, AttemptHealth, SILENCE_CHECK_MS,
@@ -70,12 +71,12 @@
             None if splitter.has_partial_event() => return Some(StreamStep::CutOff),
             None => return Some(StreamStep::Ended),
         };
-        let last_id = splitter.last_id();
+        let count = splitter.event_count();
         match splitter.push(data) {
             Ok(events) if events.is_empty() => None,
             Ok(events) => Some(StreamStep::Events {
                 events,
-                is_progress: splitter.last_id() != last_id || last_id.is_none(),
+                is_progress: splitter.event_count() != count,
             }),
             Err(fault) => Some(StreamStep::Invalid(format!(
                 "invalid event stream: {fault:?}"
@@ -217,7 +218,7 @@
                 },
             };
             let upstream_key = self.attempt.target.upstream;
-            let reason = match step {
+            let (end, reason) = match step {
                 StreamStep::Events {
                     events,
                     is_progress,
@@ -231,39 +232,41 @@
                         self.silent_ms = 0;
                         self.checked_at = now;
                         self.attempt.record_event();
+                        let end = ExchangeEnd::Whole;
+                        self.attempt.record_exchange(&self.context, end);
                     }
                     self.gateway.metrics.tokens.inc();
                     return Some(Ok(events));
                 }
                 StreamStep::Ended if self.ended_before_first_event() => {
-                    self.attempt.note_crash(&self.context, upstream_key);
-                    String::from("ended before the first event")
+                    let reason = String::from("ended before the first event");
+                    (ExchangeEnd::BrokenOff, reason)
                 }
                 StreamStep::Ended if self.splitter.is_empty_continuation() => {
                     self.attempt.settle();
-                    String::from("the run that was to continue it brought no event")
+                    let reason = String::from("the run that was to continue it brought no event");
+                    (ExchangeEnd::NotContinued, reason)
                 }
                 StreamStep::Ended => {
                     self.finished = true;
                     self.attempt.record_end();
+                    let end = ExchangeEnd::Whole;
+                    self.attempt.record_exchange(&self.context, end);
                     self.attempt.release_connection(&self.meta);
                     record_completion(&self.gateway, &self.context, upstream_key, 200);
                     return None;
                 }
                 StreamStep::CutOff => {
-                    self.attempt.note_crash(&self.context, upstream_key);
-                    String::from("ended inside an event")
+                    let reason = String::from("ended inside an event");
+                    (ExchangeEnd::BrokenOff, reason)
                 }
-                StreamStep::Broken(error) => {
-                    let now = self.gateway.clock.now();
-                    let mut state = self.gateway.state();
-                    state.upstreams.record_exchange_failure(now, upstream_key);
-                    drop(state);
-                    self.attempt.note_crash(&self.context, upstream_key);
-                    error
-                }
-                StreamStep::Invalid(reason) => reason,
+                StreamStep::Broken(error) => (ExchangeEnd::BrokenOff, error),
+                StreamStep::Invalid(reason) => (ExchangeEnd::Invalid, reason),
             };
+            self.attempt.record_exchange(&self.context, end);
+            if end == ExchangeEnd::BrokenOff {
+                self.attempt.note_crash(&self.context, upstream_key);
+            }
             if let Err(abort_reason) = self.resume(&reason, self.gateway.clock.now()).await {
                 return Some(self.abort(&abort_reason));
             }
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -11,6 +11,8 @@
 use hyper::body::Incoming;
 
 use crate::clock::ClockTime;
+use crate::gateway::caller_connection::BodyFault;
+use crate::gateway::exchange_record::ExchangeEnd;
 use crate::gateway::forward::RequestContext;
 use crate::gateway::response_buffer::ResponseBuffer;
 use crate::gateway::run::Gateway;
@@ -38,20 +40,19 @@
     let (head, body) = response.into_parts();
     let remaining = Duration::from_millis(context.admitted.deadline.since(gateway.clock.now()));
     let read = read_body(body, ResponseBuffer::new(context.caller.connection()));
-    let buffer = match tokio::time::timeout(remaining, read).await {
-        Ok(Ok(buffer)) => buffer,
-        result => {
+    let result = tokio::time::timeout(remaining, read).await;
+    let result = result.unwrap_or(Err(ExchangeEnd::TimedOut));
+    let end = result.as_ref().err().copied();
+    attempt.record_exchange(context, end.unwrap_or(ExchangeEnd::Whole));
+    let buffer = match result {
+        Ok(buffer) => buffer,
+        Err(end) => {
             spdlog::warn!(
-                "event=response_incomplete request={} upstream={} reason={}",
+                "event=response_incomplete request={} upstream={} reason={end}",
                 context.meta.id,
-                attempt.target.upstream_id,
-                match &result {
-                    Ok(Err(IncompleteBody::BrokenOff)) => "broken_off",
-                    Ok(_) => "too_large",
-                    Err(_) => "timed_out",
-                }
+                attempt.target.upstream_id
             );
-            if matches!(result, Ok(Err(IncompleteBody::BrokenOff))) {
+            if end == ExchangeEnd::BrokenOff {
                 attempt.note_crash(context, attempt.target.upstream);
             }
             return None;
@@ -68,25 +69,17 @@
     Some(response)
 }
 
-/// Why a response body is not complete.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum IncompleteBody {
-    /// The connection ended before the body did.
-    BrokenOff,
-    /// The body is larger than what is buffered.
-    TooLarge,
-}
-
 async fn read_body(
     mut body: Incoming,
     mut buffer: ResponseBuffer,
-) -> Result<ResponseBuffer, IncompleteBody> {
+) -> Result<ResponseBuffer, ExchangeEnd> {
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| IncompleteBody::BrokenOff)?;
+        let frame = frame.map_err(|_| ExchangeEnd::BrokenOff)?;
         if let Some(data) = frame.data_ref() {
-            if !buffer.push(data) {
-                return Err(IncompleteBody::TooLarge);
-            }
+            buffer.push(data).map_err(|fault| match fault {
+                BodyFault::TooLarge => ExchangeEnd::TooLarge,
+                BodyFault::NoRoom => ExchangeEnd::NoRoom,
+            })?;
         }
     }
     Ok(buffer)
--- a/src/gateway/response_buffer.rs
+++ b/src/gateway/response_buffer.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Frame, SizeHint};
 
-use crate::gateway::caller_connection::{AnswerRoom, CallerConnection};
+use crate::gateway::caller_connection::{AnswerRoom, BodyFault, CallerConnection};
 
 /// Largest response body that is buffered, bytes.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
@@ -26,14 +26,20 @@
         }
     }
 
-    /// Appends bytes. Returns false if the response would be too large, or there is no room for it.
-    pub fn push(&mut self, bytes: &[u8]) -> bool {
-        let len = self.data.len() + bytes.len();
-        if len > MAX_RESPONSE_BYTES || !self.room.grow(bytes.len()) {
-            return false;
+    /// Appends bytes.
+    ///
+    /// # Errors
+    ///
+    /// If the response would be too large, or there is no room for it.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), BodyFault> {
+        if self.data.len() + bytes.len() > MAX_RESPONSE_BYTES {
+            return Err(BodyFault::TooLarge);
+        }
+        if !self.room.grow(bytes.len()) {
+            return Err(BodyFault::NoRoom);
         }
         self.data.extend_from_slice(bytes);
-        true
+        Ok(())
     }
 
     /// Returns the body for the caller.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -598,11 +598,14 @@
             let load = f64::from(record.in_flight) / f64::from(record.entry.slots.max(1));
             let remote = record.entry.domain != self.setup.domain;
             let noise = LOAD_NOISE * self.rng.random::<f64>();
-            let load =
-                load + if remote { REMOTE_DOMAIN_LOAD } else { 0.0 } + noise + record.failure_rate;
+            let load = load
+                + if remote { REMOTE_DOMAIN_LOAD } else { 0.0 }
+                + noise
+                + record.failure_rate(now);
             // A suspect replica, or one that was already attempted, is still better than none.
             let is_heard = !self.permits.is_unheard(now, key);
-            let rank = (avoid.contains(&key), !record.usable(now), is_heard, load);
+            let is_usable = record.usable(now) && !record.is_on_trial();
+            let rank = (avoid.contains(&key), !is_usable, is_heard, load);
             if best.is_none_or(|(least, _)| rank < least) {
                 best = Some((rank, key));
             }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -5,22 +5,16 @@
 use std::net::SocketAddr;
 
 use crate::clock::ClockTime;
+use crate::gateway::exchange_record::{ExchangeEnd, ExchangeRecord};
 use crate::gateway::leaving::{LeavingTable, Standing};
 use crate::store::position::StorePosition;
 
-/// Time for which an upstream stays suspect, milliseconds. It doubles each time that the upstream
-/// becomes suspect without a successful exchange in between, up to [`MAX_SUSPECT_MS`].
-const SUSPECT_MS: u64 = 1_000;
 /// Age up to which a reported slowdown counts, milliseconds.
 const SLOWDOWN_TTL_MS: u64 = 6_000;
 /// Upper bound of a slowdown, also assumed for an invalid report.
 const MAX_SLOWDOWN: f64 = 1_000.0;
 /// Part of the previous slowdown by which a new one must differ to be logged.
 const SLOWDOWN_CHANGE: f64 = 0.2;
-/// Consecutive failed exchanges after which an upstream becomes suspect.
-const FAILURES_TO_SUSPECT: u32 = 3;
-/// Weight of the newest exchange in the moving average of the failure rate.
-const FAILURE_RATE_SMOOTHING: f64 = 0.1;
 /// Time for which a replica is paused after it refused a request or an order, or was named as the
 /// cause, milliseconds. It doubles with each further time while no heartbeat of the replica
 /// arrives, up to [`MAX_REFUSAL_PAUSE_MS`]: without heartbeats it is most likely dead, and each
@@ -28,8 +22,6 @@
 const REFUSAL_PAUSE_MS: u64 = 250;
 /// Longest pause after a refusal, milliseconds.
 const MAX_REFUSAL_PAUSE_MS: u64 = 2_000;
-/// Longest time for which an upstream stays suspect after one failure, milliseconds.
-const MAX_SUSPECT_MS: u64 = 4_000;
 /// A replica that answered none of the gateway's queries over this time is taken for dead,
 /// milliseconds. One late answer is not enough: work that runs there would be started again
 /// elsewhere.
@@ -178,14 +170,10 @@
     answered_at: ClockTime,
     /// Time at which this gateway observed the last heartbeat.
     last_heartbeat: ClockTime,
-    /// Number of times that the upstream became suspect since the last successful exchange.
-    suspicions: u32,
-    /// Number of failed exchanges since the last successful one.
-    consecutive_failures: u32,
+    /// Outcomes of this gateway's exchanges with the upstream.
+    exchanges: ExchangeRecord,
     /// Newest report of the upstream's slowdown, from itself or from a peer.
     slowdown: Option<SlowdownReport>,
-    /// Moving average of the part of exchanges that failed, 0 to 1.
-    pub failure_rate: f64,
     /// Requests a second that the upstream says it takes from all gateways together; `None` if it
     /// names no limit.
     pub limit: Option<f64>,
@@ -239,6 +227,17 @@
         now < self.suspect_until || self.reported_dead(now)
     }
 
+    /// Moving average of the part of exchanges that brought no whole answer, 0 to 1.
+    pub fn failure_rate(&self, now: ClockTime) -> f64 {
+        self.exchanges.failure_rate(now)
+    }
+
+    /// Whether several answers of the upstream in a row had a fault, and a request that may show
+    /// whether it serves again is under way there.
+    pub fn is_on_trial(&self) -> bool {
+        self.exchanges.is_failing() && self.in_flight > 0
+    }
+
     /// Whether the replica left the last query of this gateway unanswered.
     pub fn owes_answer(&self) -> bool {
         self.unanswered_since.is_some()
@@ -417,9 +416,7 @@
             unanswered_since: None,
             answered_at: now,
             last_heartbeat: now,
-            suspicions: 0,
-            consecutive_failures: 0,
-            failure_rate: 0.0,
+            exchanges: ExchangeRecord::default(),
             slowdown: None,
             limit: None,
             in_flight: 0,
@@ -499,9 +496,7 @@
     pub fn suspect(&mut self, now: ClockTime, key: UpstreamKey) {
         let record = &mut self.records[key.0 as usize];
         if now >= record.suspect_until {
-            let suspect_ms = SUSPECT_MS << record.suspicions.min(4);
-            record.suspect_until = now + suspect_ms.min(MAX_SUSPECT_MS);
-            record.suspicions += 1;
+            record.suspect_until = now + record.exchanges.begin_suspicion();
             self.version += 1;
         }
     }
@@ -604,24 +599,15 @@
         record.rest_until = record.rest_until.max(now + rest_ms);
     }
 
-    /// Records a failed exchange. Single failures also occur at healthy upstreams, so only several
-    /// in a row make it suspect.
-    pub fn record_exchange_failure(&mut self, now: ClockTime, key: UpstreamKey) {
+    /// Records how an exchange with an upstream ended. Returns whether the upstream became suspect. A
+    /// success does not end a suspicion early.
+    pub fn record_exchange(&mut self, now: ClockTime, key: UpstreamKey, end: ExchangeEnd) -> bool {
         let record = &mut self.records[key.0 as usize];
-        record.consecutive_failures += 1;
-        record.failure_rate += (1.0 - record.failure_rate) * FAILURE_RATE_SMOOTHING;
-        if record.consecutive_failures >= FAILURES_TO_SUSPECT {
+        let is_new = record.exchanges.record(now, end) && now >= record.suspect_until;
+        if is_new {
             self.suspect(now, key);
         }
-    }
-
-    /// Records a successful exchange: resets the counts of consecutive failures and of suspicions,
-    /// and lowers the failure rate. A suspect upstream stays suspect until its time is over.
-    pub fn record_exchange_success(&mut self, key: UpstreamKey) {
-        let record = &mut self.records[key.0 as usize];
-        record.suspicions = 0;
-        record.consecutive_failures = 0;
-        record.failure_rate -= record.failure_rate * FAILURE_RATE_SMOOTHING;
+        is_new
     }
 
     /// Marks the upstream as draining: another one answers at its address, or it says itself that
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -13,6 +13,7 @@
 use crate::clock::ClockTime;
 use crate::gateway::attempt_ledger::AttemptFailure;
 use crate::gateway::catalog::WorkKind;
+use crate::gateway::exchange_record::{ExchangeEnd, ExchangeProof};
 use crate::gateway::forward::RequestContext;
 use crate::gateway::notice::{note_crash, note_leaving, note_limit};
 use crate::gateway::part_ledger::{ReplicaEnd, SuspectRun, PROOF_MS};
@@ -42,6 +43,8 @@
     connection: Option<UpstreamConnection>,
     /// Whether a crash was recorded for the replicas that the request runs on now.
     crash_noted: bool,
+    /// Whether the answer has shown that the upstream serves.
+    is_proved: bool,
     progress: RunProgress,
     /// What the request is to a replica that crashes under it.
     suspect: SuspectRun,
@@ -83,6 +86,32 @@
         context.end_probe();
     }
 
+    /// Records how the exchange with the upstream ended. A stream that has brought an event counts as a
+    /// success once.
+    pub(super) fn record_exchange(&mut self, context: &RequestContext, end: ExchangeEnd) {
+        let is_sound = end.proof() == ExchangeProof::Sound;
+        if is_sound && std::mem::replace(&mut self.is_proved, true) {
+            return;
+        }
+        let gateway = &self.gateway;
+        let now = gateway.clock.now();
+        let mut state = gateway.state();
+        let key = self.target.upstream;
+        let is_suspected = state.upstreams.record_exchange(now, key, end);
+        let failure_rate = state.upstreams.get(key).failure_rate(now);
+        drop(state);
+        if !is_sound {
+            gateway.metrics.count_failed_exchange(end.into());
+        }
+        if is_suspected {
+            spdlog::warn!(
+                "event=upstream_failing id={} request={} end={end} failure_rate={failure_rate:.2}",
+                self.target.upstream_id,
+                context.meta.id
+            );
+        }
+    }
+
     /// Records how long the first event of the answer took, which is of a run from its beginning.
     pub(super) fn record_lead_time(&self, service: &str) {
         if let Some(sent_at) = self.progress.sent_at {
@@ -203,6 +232,7 @@
         target,
         connection: None,
         crash_noted: false,
+        is_proved: false,
         progress: RunProgress::default(),
         suspect: context.suspect.clone(),
     };
@@ -261,11 +291,9 @@
                 attempt.progress.sent_at = None;
                 return Err(failed(AttemptFailure::NotSent));
             }
-            gateway
-                .state()
-                .upstreams
-                .record_exchange_failure(gateway.clock.now(), key);
-            if is_broken_off(error.error()) {
+            let end = failed_end(error.error());
+            attempt.record_exchange(context, end);
+            if end == ExchangeEnd::BrokenOff {
                 attempt.note_crash(context, key);
             }
             return Err(failed(AttemptFailure::Lost));
@@ -277,8 +305,8 @@
     check_response(gateway, context, attempt, response, meta, new_connection)
 }
 
-/// Checks that a response belongs to the request and is valid, and records a success or a failure
-/// of the upstream. A refusal pauses the replica that it names as faulty, else the upstream. A 421
+/// Checks that the head of a response belongs to the request and is valid, and records a failure of
+/// the upstream if it does not. A refusal pauses the replica that it names as faulty, else the upstream. A 421
 /// that names none marks the upstream as draining or, if it is the first replica of a chain, as
 /// suspect.
 fn check_response(
@@ -343,16 +371,12 @@
             attempt.target.upstream_id,
             status.as_u16()
         );
-        gateway
-            .state()
-            .upstreams
-            .record_exchange_failure(gateway.clock.now(), key);
+        attempt.record_exchange(context, ExchangeEnd::Invalid);
         return Err(FailedAttempt {
             failure: AttemptFailure::Lost,
             key,
         });
     }
-    gateway.state().upstreams.record_exchange_success(key);
     Ok(OpenResponse {
         attempt,
         response,
@@ -395,11 +419,14 @@
     );
 }
 
-/// Whether an exchange failed because the connection ended, and not because of what was received.
-fn is_broken_off(error: &hyper::Error) -> bool {
+/// How a failed exchange ended: with its connection, or because of what was received.
+fn failed_end(error: &hyper::Error) -> ExchangeEnd {
     let io_error = error.source().and_then(|source| source.downcast_ref());
-    let is_invalid = io_error.map(io::Error::kind) == Some(io::ErrorKind::InvalidData);
-    !error.is_parse() && !is_invalid
+    match io_error.map(io::Error::kind) {
+        Some(io::ErrorKind::InvalidData) => ExchangeEnd::Invalid,
+        _ if error.is_parse() => ExchangeEnd::Invalid,
+        _ => ExchangeEnd::BrokenOff,
+    }
 }
 
 /// Whether a request may still be sent to a target that was chosen for it before.
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -19,6 +19,8 @@
     pub tokens: IntCounter,
     /// Number of replicas that crashed, or were cut off, while they ran a gateway's request.
     pub crashes_under_requests: IntCounter,
+    /// Number of a gateway's exchanges with upstreams that brought no whole answer, by how they ended.
+    pub failed_exchanges: IntCounterVec,
     /// Number of upstreams that name a limit on the requests that they take.
     pub limited_upstreams: IntGauge,
     /// Number of permits that requests to such upstreams needed, by how they were had.
@@ -80,6 +82,13 @@
             "lynxcart_crashes_under_requests_total",
             "Replicas that crashed or were cut off while they ran a request.",
         )?;
+        let failed_exchanges = IntCounterVec::new(
+            Opts::new(
+                "lynxcart_failed_exchanges_total",
+                "Exchanges with upstreams that brought no whole answer, by how they ended.",
+            ),
+            &["end"],
+        )?;
         let limited_upstreams = IntGauge::new(
             "lynxcart_limited_upstreams",
             "Upstreams that name a limit on the requests that they take.",
@@ -147,6 +156,7 @@
         registry.register(Box::new(in_flight.clone()))?;
         registry.register(Box::new(tokens.clone()))?;
         registry.register(Box::new(crashes_under_requests.clone()))?;
+        registry.register(Box::new(failed_exchanges.clone()))?;
         registry.register(Box::new(limited_upstreams.clone()))?;
         registry.register(Box::new(permits.clone()))?;
         registry.register(Box::new(caller_bytes.clone()))?;
@@ -164,6 +174,7 @@
             in_flight,
             tokens,
             crashes_under_requests,
+            failed_exchanges,
             limited_upstreams,
             permits,
             caller_bytes,
@@ -191,6 +202,11 @@
         self.permits.with_label_values(&[result]).inc();
     }
 
+    /// Counts an exchange with an upstream that brought no whole answer.
+    pub fn count_failed_exchange(&self, end: &str) {
+        self.failed_exchanges.with_label_values(&[end]).inc();
+    }
+
     /// Counts a connection that was given up for want of room: `idle`, `head`, `body`, or
     /// `not_accepted`.
     pub fn count_caller_eviction(&self, phase: &str) {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod config;
 mod crash_ledger;
 mod event_stream;
+mod exchange_record;
 mod fixture;
 mod freshness;
 mod lead_time;
--- a/tests/gateway/state.rs
+++ b/tests/gateway/state.rs
@@ -15,8 +15,8 @@
 
 use crate::fixture::{config, entry, placed_fleet, SERVICE};
 
-const NOW: ClockTime = ClockTime(10_000);
-const HEAD: RequestHead<'_> = RequestHead {
+pub(crate) const NOW: ClockTime = ClockTime(10_000);
+pub(crate) const HEAD: RequestHead<'_> = RequestHead {
     host: "h",
     path: "/m/x",
     api_key: "k",
@@ -26,7 +26,7 @@
     answer_hint: None,
 };
 
-fn state() -> GatewayState {
+pub(crate) fn state() -> GatewayState {
     GatewayState::new(GatewaySetup {
         domain: "a".to_owned(),
         revoke_ms: Some(5_000),
@@ -249,7 +249,7 @@
     assert!(!state.proof.is_valid(NOW + 4_700));
 }
 
-fn plain_serving() -> ServingConfig {
+pub(crate) fn plain_serving() -> ServingConfig {
     let mut config = serving();
     config.services[0].engine = None;
     config
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -1,6 +1,7 @@
 //! Tests of how a gateway applies registry entries and records failures.
 
 use lynxcart::clock::ClockTime;
+use lynxcart::gateway::exchange_record::ExchangeEnd;
 use lynxcart::gateway::upstream::{LayerRange, UpstreamEntry, UpstreamKey, UpstreamTable};
 
 use lynxcart::store::position::StorePosition;
@@ -89,7 +90,7 @@
     assert!(!table.get(key).usable(NOW + 900) && table.get(key).usable(NOW + 1_000));
     table.suspect(NOW + 1_000, key);
     assert!(!table.get(key).usable(NOW + 2_900) && table.get(key).usable(NOW + 3_000));
-    table.record_exchange_success(key);
+    table.record_exchange(NOW + 3_900, key, ExchangeEnd::Whole);
     table.suspect(NOW + 4_000, key);
     assert!(table.get(key).usable(NOW + 5_000));
 }
@@ -101,18 +102,20 @@
     let key = table.by_address("10.0.0.2:80".parse().unwrap()).unwrap();
     // One answer in ten is lost, as happens at some of the users' replicas.
     for count in 0..200 {
-        match count % 10 {
-            0 => table.record_exchange_failure(NOW, key),
-            _ => table.record_exchange_success(key),
-        }
+        let end = match count % 10 {
+            0 => ExchangeEnd::Invalid,
+            _ => ExchangeEnd::Whole,
+        };
+        table.record_exchange(NOW, key, end);
         assert!(
             table.get(key).usable(NOW),
             "unusable after {count} exchanges"
         );
     }
-    assert!(table.get(key).failure_rate > 0.02 && table.get(key).failure_rate < 0.2);
+    let failure_rate = table.get(key).failure_rate(NOW);
+    assert!(failure_rate > 0.02 && failure_rate < 0.2);
     for _ in 0..3 {
-        table.record_exchange_failure(NOW, key);
+        table.record_exchange(NOW, key, ExchangeEnd::Invalid);
     }
     assert!(!table.get(key).usable(NOW));
 }
@@ -210,7 +213,7 @@
     table.rest(NOW, key, 2_000);
     // Neither a shorter request, nor a success under way, nor a heartbeat ends the time early.
     table.rest(NOW + 100, key, 300);
-    table.record_exchange_success(key);
+    table.record_exchange(NOW + 150, key, ExchangeEnd::Whole);
     table.apply_entry(NOW + 200, plain_entry("x", 2));
     assert!(!table.get(key).usable(NOW + 1_999));
     assert_eq!(table.get(key).rest_ms(NOW + 500), 1_500);
