Do not count invalid bytes of a body as a crash under its request

What callers saw: a request whose answers had broken chunks was refused for ten minutes after its third ("replicas crashed while they ran this request or others like it"), and so were all requests that are the same.

Cause: every error of a body was taken for the end of its connection. The replica of such an answer is there still. Heads told the two apart already.

Evidence: request_that_meets_broken_chunks_is_not_quarantined failed on the commit before: of lookups with one body, 1.2 s apart, the third got a 503 with reason "quarantined" and retry_after_ms 598,800 in place of a 502, and was sent nowhere. It passes on this commit.

Why it works: bodies and streams are judged by the function that judges heads. Only a connection that ended counts as a crash; it knows the two kinds of error that hyper gives for invalid chunks and trailers.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -24,7 +24,7 @@
 use crate::gateway::response::{record_completion, GatewayBody};
 use crate::gateway::run::Gateway;
 use crate::gateway::upstream::UpstreamKey;
-use crate::gateway::upstream_attempt::{FailedAttempt, OpenResponse, UpstreamAttempt};
+use crate::gateway::upstream_attempt::{failed_end, FailedAttempt, OpenResponse, UpstreamAttempt};
 use crate::platform::headers::{body_type, caller_headers, ResponseMeta};
 use crate::verdict::{RefusalReason, RequestRefusal};
 
@@ -67,7 +67,12 @@
     ) -> Option<StreamStep> {
         let data = match frame {
             Some(Ok(frame)) => frame.into_data().ok()?,
-            Some(Err(error)) => return Some(StreamStep::Broken(error.to_string())),
+            Some(Err(error)) => {
+                return Some(match failed_end(&error) {
+                    ExchangeEnd::BrokenOff => StreamStep::Broken(error.to_string()),
+                    _ => StreamStep::Invalid(error.to_string()),
+                });
+            }
             None if splitter.has_partial_event() => return Some(StreamStep::CutOff),
             None => return Some(StreamStep::Ended),
         };
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -17,7 +17,7 @@
 use crate::gateway::response_buffer::ResponseBuffer;
 use crate::gateway::run::Gateway;
 use crate::gateway::upstream::UpstreamKey;
-use crate::gateway::upstream_attempt::OpenResponse;
+use crate::gateway::upstream_attempt::{failed_end, OpenResponse};
 use crate::platform::headers::{caller_headers, set_request_id};
 use crate::verdict::{RefusalReason, RequestRefusal, RunVerdict};
 use crate::web::problem_json;
@@ -25,8 +25,8 @@
 /// The body of a response to a caller, either complete or a stream of chunks.
 pub type GatewayBody = UnsyncBoxBody<Bytes, io::Error>;
 
-/// Reads the complete response of an upstream. Returns `None` if the body is too large, breaks off
-/// or is not complete by the deadline.
+/// Reads the complete response of an upstream. Returns `None` if the body is too large, invalid,
+/// breaks off or is not complete by the deadline.
 pub async fn collect_response(
     gateway: &Gateway,
     context: &RequestContext,
@@ -74,7 +74,7 @@
     mut buffer: ResponseBuffer,
 ) -> Result<ResponseBuffer, ExchangeEnd> {
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| ExchangeEnd::BrokenOff)?;
+        let frame = frame.map_err(|error| failed_end(&error))?;
         if let Some(data) = frame.data_ref() {
             buffer.push(data).map_err(|fault| match fault {
                 BodyFault::TooLarge => ExchangeEnd::TooLarge,
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -420,10 +420,11 @@
 }
 
 /// How a failed exchange ended: with its connection, or because of what was received.
-fn failed_end(error: &hyper::Error) -> ExchangeEnd {
+pub(super) fn failed_end(error: &hyper::Error) -> ExchangeEnd {
+    use io::ErrorKind::{InvalidData, InvalidInput};
     let io_error = error.source().and_then(|source| source.downcast_ref());
     match io_error.map(io::Error::kind) {
-        Some(io::ErrorKind::InvalidData) => ExchangeEnd::Invalid,
+        Some(InvalidData | InvalidInput) => ExchangeEnd::Invalid,
         _ if error.is_parse() => ExchangeEnd::Invalid,
         _ => ExchangeEnd::BrokenOff,
     }
--- a/standins/tests/faulty_answers.rs
+++ b/standins/tests/faulty_answers.rs
@@ -206,6 +206,36 @@
     .await;
 }
 
+/// The connection is there still, so that no replica crashed: callers who ask again are not refused as
+/// ones whose request crashes replicas.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_meets_broken_chunks_is_not_quarantined() {
+    let text = "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-replica-stamp: s\r\n\
+                transfer-encoding: chunked\r\n\r\nno chunk\r\n";
+    let (site, faulty) = start_site(&written("not-crashed", text), 0).await;
+    for address in &site.plain_addresses {
+        let id = site.replicas.state(*address).id;
+        site.replicas.change(*address, |state| state.dead = true);
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        site.store.remove(&format!("servers/{id}"));
+    }
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    for number in 0..6 {
+        // Crashes in quick succession count once.
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        let request = SiteRequest {
+            body: "same body",
+            ..SiteRequest::lookup(&format!("again-{number}"))
+        };
+        let answer = site.fetch(0, &request).await;
+        let answer = answer.expect("the gateway should respond");
+        assert_eq!(answer.status, 502, "{}: {}", request.id, answer.body);
+        let received = faulty.iter().flat_map(RawReplica::received);
+        let arrivals = received.filter(|id| *id == request.id).count();
+        assert!(arrivals > 0, "{} was not sent", request.id);
+    }
+}
+
 /// Events that callers ask for.
 const EVENTS: u64 = 5;
 
