--- a/standins/src/raw.rs
+++ b/standins/src/raw.rs
@@ -95,8 +95,8 @@
     orders_on_kept: Arc<AtomicUsize>,
     /// Ids of the requests received, in order.
     received: Arc<Mutex<Vec<String>>>,
-    /// Number of requests received on a connection that was used before.
-    received_on_kept: Arc<AtomicUsize>,
+    /// Those of them that came on a connection that was used before.
+    received_on_kept: Arc<Mutex<Vec<String>>>,
 }
 
 impl RawReplica {
@@ -186,12 +186,7 @@
 
     /// Registers the replica as an accelerator that holds no layers, so that it is sent orders.
     pub fn register_empty(&self, store: &KvServer) {
-        self.register_empty_as("i-raw", store);
-    }
-
-    /// Registers the replica under an id, see [`Self::register_empty`].
-    pub fn register_empty_as(&self, id: &str, store: &KvServer) {
-        self.write_entry(store, id, "model", "card", 0);
+        self.write_entry(store, "i-raw", "model", "card", 0);
     }
 
     fn write_entry(&self, store: &KvServer, id: &str, service: &str, kind: &str, layers: u64) {
@@ -223,9 +218,10 @@
         self.orders_on_kept.load(Ordering::Relaxed)
     }
 
-    /// Returns the number of requests received so far on a connection that was used before.
-    pub fn received_on_kept(&self) -> usize {
-        self.received_on_kept.load(Ordering::Relaxed)
+    /// Returns the ids of the requests received so far on a connection that was used before.
+    pub fn received_on_kept(&self) -> Vec<String> {
+        let received = self.received_on_kept.lock();
+        received.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Returns the ids of the requests received so far.
@@ -234,9 +230,14 @@
         received.clone()
     }
 
-    fn record(&self, id: &str) {
+    fn record(&self, request: &RawRequest) {
         let mut received = self.received.lock().unwrap_or_else(PoisonError::into_inner);
-        received.push(id.to_owned());
+        received.push(request.id.clone());
+        if request.is_kept {
+            let received = self.received_on_kept.lock();
+            let mut received = received.unwrap_or_else(PoisonError::into_inner);
+            received.push(request.id.clone());
+        }
     }
 
     async fn serve(self, mut stream: TcpStream) {
@@ -273,6 +274,11 @@
     async fn answer(&self, stream: &mut TcpStream, request: &RawRequest) -> std::io::Result<()> {
         if request.path.starts_with("/api/") {
             self.queries.fetch_add(1, Ordering::Relaxed);
+            if !request.path.starts_with("/api/report") {
+                let is_kept = usize::from(request.is_kept);
+                self.orders.fetch_add(1, Ordering::Relaxed);
+                self.orders_on_kept.fetch_add(is_kept, Ordering::Relaxed);
+            }
             match self.query_fault {
                 Some(QueryFault::Flood(flood)) => return self.write_flood(stream, flood, "").await,
                 Some(QueryFault::Cut(cut)) => return cut.write(stream, "").await,
@@ -288,16 +294,11 @@
             return stream.write_all(response("", body).as_bytes()).await;
         }
         if request.path.starts_with("/api/") {
-            let is_kept = usize::from(request.is_kept);
-            self.orders.fetch_add(1, Ordering::Relaxed);
-            self.orders_on_kept.fetch_add(is_kept, Ordering::Relaxed);
             return stream.write_all(response("", "{}").as_bytes()).await;
         }
         let id = &request.id;
         let is_again = self.received().contains(id);
-        self.record(id);
-        let is_kept = usize::from(request.is_kept);
-        self.received_on_kept.fetch_add(is_kept, Ordering::Relaxed);
+        self.record(request);
         match self.behaviour {
             RawBehaviour::AnswersTwice {
                 with_id,
