Refuse answers in a transfer coding that is not removed

What callers saw: a 200 with the coded bytes of an answer, framed by a length of their own, as if they were the replica's body.

Cause: an answer with a transfer coding other than chunks was read as one that ends with its connection. The header names the coding, is of one connection, and so is not passed on.

Why it works: such an answer is invalid like one with a content encoding. It is tried again elsewhere or ends as a 502.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -238,8 +238,8 @@
     pub stamped: bool,
     /// Whether the response states that the request did not run (`x-not-executed`).
     pub not_run: bool,
-    /// Whether the body has a content encoding. Upstreams apply none, so such a response is
-    /// invalid.
+    /// Whether the body has a content encoding, or a transfer coding other than chunks. Upstreams
+    /// apply none, so such a response is invalid.
     pub encoded: bool,
     /// Address of the replica of the chain that is at fault (`at-server`); `None` if not stated.
     pub faulty_replica: Option<SocketAddr>,
@@ -356,7 +356,7 @@
         has_other_id: ids.iter().any(|value| *value != id),
         stamped: headers.contains_key(REPLICA_STAMP),
         not_run: headers.contains_key(NOT_EXECUTED),
-        encoded: headers.contains_key(CONTENT_ENCODING),
+        encoded: headers.contains_key(CONTENT_ENCODING) || has_other_coding(headers),
         faulty_replica: header_text(headers, &AT_SERVER).parse().ok(),
         closes_connection: connection_header_names(headers)
             .iter()
@@ -368,6 +368,14 @@
     }
 }
 
+/// Whether a body has a transfer coding that is not removed when it is read.
+fn has_other_coding(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(TRANSFER_ENCODING).iter();
+    codings
+        .map(|value| value.to_str().unwrap_or("?"))
+        .any(|text| !text.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// Returns the headers of an upstream's response that are forwarded to the caller.
 pub fn caller_headers(headers: &HeaderMap) -> HeaderMap {
     let connection_headers = connection_header_names(headers);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod adapter;
 mod attempt_ledger;
+mod body_coding;
 mod budget;
 mod caller_ledger;
 mod catalog;
