--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -11,12 +11,14 @@
 use hyper::body::Incoming;
 
 use crate::clock::ClockTime;
+use crate::gateway::caller_connection::BodyFault;
+use crate::gateway::exchange_record::ExchangeEnd;
 use crate::gateway::forward::{RequestContext, SHUTDOWN_RETRY_AFTER_MS};
 use crate::gateway::response_buffer::ResponseBuffer;
 use crate::gateway::run::Gateway;
 use crate::gateway::shutdown::{EndingAnswer, RequestProgress};
 use crate::gateway::upstream::UpstreamKey;
-use crate::gateway::upstream_attempt::OpenResponse;
+use crate::gateway::upstream_attempt::{failed_end, OpenResponse};
 use crate::platform::headers::{caller_headers, set_request_id};
 use crate::verdict::{RefusalReason, RequestRefusal, RunVerdict};
 use crate::web::problem_json;
@@ -24,8 +26,8 @@
 /// The body of a response to a caller, either complete or a stream of chunks.
 pub type GatewayBody = UnsyncBoxBody<Bytes, io::Error>;
 
-/// Reads the complete response of an upstream. Returns `None` if the body is too large, breaks off
-/// or is not complete by the deadline.
+/// Reads the complete response of an upstream. Returns `None` if the body is too large, invalid,
+/// breaks off or is not complete by the deadline.
 pub async fn collect_response(
     gateway: &Gateway,
     context: &RequestContext,
@@ -39,20 +41,19 @@
     let (head, body) = response.into_parts();
     let remaining = Duration::from_millis(context.admitted.deadline.since(gateway.clock.now()));
     let read = read_body(body, ResponseBuffer::new(context.caller.connection()));
-    let buffer = match tokio::time::timeout(remaining, read).await {
-        Ok(Ok(buffer)) => buffer,
-        result => {
+    let result = tokio::time::timeout(remaining, read).await;
+    let result = result.unwrap_or(Err(ExchangeEnd::TimedOut));
+    let end = result.as_ref().err().copied();
+    attempt.record_exchange(context, end.unwrap_or(ExchangeEnd::Whole));
+    let buffer = match result {
+        Ok(buffer) => buffer,
+        Err(end) => {
             spdlog::warn!(
-                "event=response_incomplete request={} upstream={} reason={}",
+                "event=response_incomplete request={} upstream={} reason={end}",
                 context.meta.id,
-                attempt.target.upstream_id,
-                match &result {
-                    Ok(Err(IncompleteBody::BrokenOff)) => "broken_off",
-                    Ok(_) => "too_large",
-                    Err(_) => "timed_out",
-                }
+                attempt.target.upstream_id
             );
-            if matches!(result, Ok(Err(IncompleteBody::BrokenOff))) {
+            if end == ExchangeEnd::BrokenOff {
                 attempt.note_crash(context, attempt.target.upstream);
             }
             return None;
@@ -69,25 +70,17 @@
     Some(response)
 }
 
-/// Why a response body is not complete.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum IncompleteBody {
-    /// The connection ended before the body did.
-    BrokenOff,
-    /// The body is larger than what is buffered.
-    TooLarge,
-}
-
 async fn read_body(
     mut body: Incoming,
     mut buffer: ResponseBuffer,
-) -> Result<ResponseBuffer, IncompleteBody> {
+) -> Result<ResponseBuffer, ExchangeEnd> {
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| IncompleteBody::BrokenOff)?;
+        let frame = frame.map_err(|error| failed_end(&error))?;
         if let Some(data) = frame.data_ref() {
-            if !buffer.push(data) {
-                return Err(IncompleteBody::TooLarge);
-            }
+            buffer.push(data).map_err(|fault| match fault {
+                BodyFault::TooLarge => ExchangeEnd::TooLarge,
+                BodyFault::NoRoom => ExchangeEnd::NoRoom,
+            })?;
         }
     }
     Ok(buffer)
--- a/src/gateway/stream_step.rs
+++ b/src/gateway/stream_step.rs
@@ -4,6 +4,8 @@
 use hyper::body::Frame;
 
 use crate::gateway::event_stream::EventSplitter;
+use crate::gateway::exchange_record::ExchangeEnd;
+use crate::gateway::upstream_attempt::failed_end;
 
 /// What the next frame of an upstream's body means for the stream.
 #[derive(Debug)]
@@ -33,16 +35,21 @@
     ) -> Option<StreamStep> {
         let data = match frame {
             Some(Ok(frame)) => frame.into_data().ok()?,
-            Some(Err(error)) => return Some(StreamStep::Broken(error.to_string())),
+            Some(Err(error)) => {
+                return Some(match failed_end(&error) {
+                    ExchangeEnd::BrokenOff => StreamStep::Broken(error.to_string()),
+                    _ => StreamStep::Invalid(error.to_string()),
+                });
+            }
             None if splitter.has_partial_event() => return Some(StreamStep::CutOff),
             None => return Some(StreamStep::Ended),
         };
-        let last_id = splitter.last_id();
+        let count = splitter.event_count();
         match splitter.push(data) {
             Ok(events) if events.is_empty() => None,
             Ok(events) => Some(StreamStep::Events {
                 events,
-                is_progress: splitter.last_id() != last_id || last_id.is_none(),
+                is_progress: splitter.event_count() != count,
             }),
             Err(fault) => Some(StreamStep::Invalid(format!(
                 "invalid event stream: {fault:?}"
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -21,6 +21,8 @@
     pub crashes_under_requests: IntCounter,
     /// Silences of replicas under requests, by what came of them.
     silences: IntCounterVec,
+    /// Number of a gateway's exchanges with upstreams that brought no whole answer, by how they ended.
+    pub failed_exchanges: IntCounterVec,
     /// Number of upstreams that name a limit on the requests that they take.
     pub limited_upstreams: IntGauge,
     /// Number of permits that requests to such upstreams needed, by how they were had.
@@ -96,6 +98,13 @@
             ),
             &["result"],
         )?;
+        let failed_exchanges = IntCounterVec::new(
+            Opts::new(
+                "lynxcart_failed_exchanges_total",
+                "Exchanges with upstreams that brought no whole answer, by how they ended.",
+            ),
+            &["end"],
+        )?;
         let limited_upstreams = IntGauge::new(
             "lynxcart_limited_upstreams",
             "Upstreams that name a limit on the requests that they take.",
@@ -185,6 +194,7 @@
         registry.register(Box::new(tokens.clone()))?;
         registry.register(Box::new(crashes_under_requests.clone()))?;
         registry.register(Box::new(silences.clone()))?;
+        registry.register(Box::new(failed_exchanges.clone()))?;
         registry.register(Box::new(limited_upstreams.clone()))?;
         registry.register(Box::new(permits.clone()))?;
         registry.register(Box::new(caller_bytes.clone()))?;
@@ -206,6 +216,7 @@
             tokens,
             crashes_under_requests,
             silences,
+            failed_exchanges,
             limited_upstreams,
             permits,
             caller_bytes,
@@ -258,6 +269,11 @@
         counts.join(" ")
     }
 
+    /// Counts an exchange with an upstream that brought no whole answer.
+    pub fn count_failed_exchange(&self, end: &str) {
+        self.failed_exchanges.with_label_values(&[end]).inc();
+    }
+
     /// Counts a connection that was given up for want of room: `idle`, `head`, `body`, or
     /// `not_accepted`.
     pub fn count_caller_eviction(&self, phase: &str) {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod adapter;
 mod attempt_ledger;
+mod body_coding;
 mod budget;
 mod caller_ledger;
 mod catalog;
@@ -10,6 +11,7 @@
 mod config;
 mod crash_ledger;
 mod event_stream;
+mod exchange_record;
 mod fixture;
 mod freshness;
 mod lead_time;
