Give up connections whose other end acknowledges nothing

What callers saw: by reading, a request that is sent on a kept connection which has gone silent for good, without a reset, waits for its whole deadline, and is then answered 504; an idempotent one is tried nowhere else. Not shown end to end: on loopback the kernel of the other end always acknowledges, so what is cut here cannot be staged there.

Cause: connections to replicas, and those of all HTTP clients, set neither keep-alive probes nor a bound on unacknowledged data.

Evidence: the new test reads the timers of the gateway's kept connections to replicas from the kernel's table.

Why this works: the kernel probes an idle connection each second and gives it up after 3 s without an acknowledgement. The next attempt of a request that may be repeated goes elsewhere, another gets 502 a second before the users' four, and an idle connection that died is not used. The kernel of a silent process acknowledges, so its silence costs nothing; a frozen host would have to stay so for 2 s at least, from the first probe to the end. The error is no evidence of a crash: the replica is asked as a silent one.

--- a/src/fetch.rs
+++ b/src/fetch.rs
@@ -2,6 +2,7 @@
 
 use std::error::Error;
 use std::io;
+use std::time::Duration;
 
 use bytes::Bytes;
 use eyre::{eyre, WrapErr};
@@ -13,39 +14,82 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
 
 /// Largest response body that is read, bytes. A page of the platform's store is about 1 MB, and a
 /// watch returns all changes since the last one.
 pub const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
 
+/// Idle time after which a connection is probed, and interval of the probes, milliseconds.
+const PROBE_INTERVAL_MS: u64 = 1_000;
+/// Number of probes without an acknowledgement after which a connection is given up.
+const MAX_UNANSWERED_PROBES: u32 = 2;
+/// Time without an acknowledgement after which a connection is given up, milliseconds. A host that is
+/// frozen for less than this without one interval of probes keeps its connections.
+const ACK_TIMEOUT_MS: u64 = 3_000;
+
+/// Has the kernel give up a connection whose other end no longer acknowledges anything. A process that
+/// is silent while its host runs keeps it.
+///
+/// # Errors
+///
+/// If the options cannot be set.
+pub fn set_keep_alive(stream: &TcpStream) -> io::Result<()> {
+    let interval = Duration::from_millis(PROBE_INTERVAL_MS);
+    let keep_alive = TcpKeepalive::new()
+        .with_time(interval)
+        .with_interval(interval)
+        .with_retries(MAX_UNANSWERED_PROBES);
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&keep_alive)?;
+    socket.set_tcp_user_timeout(Some(Duration::from_millis(ACK_TIMEOUT_MS)))
+}
+
+fn connector() -> HttpConnector {
+    let mut connector = HttpConnector::new();
+    let interval = Some(Duration::from_millis(PROBE_INTERVAL_MS));
+    connector.set_nodelay(true);
+    connector.set_keepalive(interval);
+    connector.set_keepalive_interval(interval);
+    connector.set_keepalive_retries(Some(MAX_UNANSWERED_PROBES));
+    connector.set_tcp_user_timeout(Some(Duration::from_millis(ACK_TIMEOUT_MS)));
+    connector
+}
+
 /// HTTP client for requests with a complete body.
 pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 /// Creates a client that pools connections and never sends a request a second time by itself.
 pub fn client() -> HttpClient {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
     Client::builder(TokioExecutor::new())
         .retry_canceled_requests(false)
-        .build(connector)
+        .build(connector())
 }
 
 /// Creates a client that opens a connection for each request. A request on a pooled connection that
 /// the server has just closed fails in a way that leaves open whether the request was sent.
 pub fn unpooled_client() -> HttpClient {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
     Client::builder(TokioExecutor::new())
         .retry_canceled_requests(false)
         .pool_max_idle_per_host(0)
-        .build(connector)
+        .build(connector())
 }
 
 /// Whether a connection was refused, as by a host on which nothing listens at the port.
 pub fn is_refused(error: &(dyn Error + 'static)) -> bool {
+    has_kind(error, io::ErrorKind::ConnectionRefused)
+}
+
+/// Whether the kernel gave up a connection since nothing was acknowledged.
+pub fn is_silenced(error: &(dyn Error + 'static)) -> bool {
+    has_kind(error, io::ErrorKind::TimedOut)
+}
+
+fn has_kind(error: &(dyn Error + 'static), kind: io::ErrorKind) -> bool {
     let io_error = error.downcast_ref::<io::Error>();
-    let is_refusal = io_error.map(io::Error::kind) == Some(io::ErrorKind::ConnectionRefused);
-    is_refusal || error.source().is_some_and(is_refused)
+    let is_kind = io_error.map(io::Error::kind) == Some(kind);
+    is_kind || error.source().is_some_and(|source| has_kind(source, kind))
 }
 
 /// Builds a request with a JSON body.
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -22,6 +22,7 @@
 use tokio::task::AbortHandle;
 
 use crate::clock::ClockTime;
+use crate::fetch::set_keep_alive;
 use crate::gateway::upstream::UpstreamKey;
 
 /// Timeout for opening a connection, milliseconds.
@@ -227,6 +228,9 @@
     let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
     let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
+    if let Err(error) = set_keep_alive(&stream) {
+        spdlog::debug!("event=keep_alive_failed address={address} error=\"{error}\"");
+    }
     let allowance = ReadAllowance(Arc::new(AtomicUsize::new(MAX_HEAD_BYTES)));
     let stream = LimitedStream {
         stream,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,6 +14,7 @@
 use hyper::body::{Frame, Incoming};
 
 use crate::clock::ClockTime;
+use crate::fetch::is_silenced;
 use crate::gateway::attempt_ledger::{AttemptFailure, AttemptLedger, NextStep};
 use crate::gateway::event_stream::EventSplitter;
 use crate::gateway::forward::{start_attempt, AttemptError, RequestContext, StreamResume};
@@ -55,6 +56,8 @@
     CutOff,
     /// The connection broke.
     Broken(String),
+    /// Nothing on the connection was acknowledged any more.
+    Silenced(String),
     /// The bytes are not those of a stream.
     Invalid(String),
 }
@@ -67,6 +70,9 @@
     ) -> Option<StreamStep> {
         let data = match frame {
             Some(Ok(frame)) => frame.into_data().ok()?,
+            Some(Err(error)) if is_silenced(&error) => {
+                return Some(StreamStep::Silenced(error.to_string()));
+            }
             Some(Err(error)) => return Some(StreamStep::Broken(error.to_string())),
             None if splitter.has_partial_event() => return Some(StreamStep::CutOff),
             None => return Some(StreamStep::Ended),
@@ -262,6 +268,10 @@
                     self.attempt.note_crash(&self.context, upstream_key);
                     error
                 }
+                StreamStep::Silenced(error) => {
+                    self.attempt.note_silence(&self.context, upstream_key);
+                    error
+                }
                 StreamStep::Invalid(reason) => reason,
             };
             if let Err(abort_reason) = self.resume(&reason, self.gateway.clock.now()).await {
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 
 use crate::clock::ClockTime;
+use crate::fetch::is_silenced;
 use crate::gateway::forward::RequestContext;
 use crate::gateway::response_buffer::ResponseBuffer;
 use crate::gateway::run::Gateway;
@@ -47,12 +48,16 @@
                 attempt.target.upstream_id,
                 match &result {
                     Ok(Err(IncompleteBody::BrokenOff)) => "broken_off",
+                    Ok(Err(IncompleteBody::Silenced)) => "silenced",
                     Ok(_) => "too_large",
                     Err(_) => "timed_out",
                 }
             );
-            if matches!(result, Ok(Err(IncompleteBody::BrokenOff))) {
-                attempt.note_crash(context, attempt.target.upstream);
+            let key = attempt.target.upstream;
+            match result {
+                Ok(Err(IncompleteBody::BrokenOff)) => attempt.note_crash(context, key),
+                Ok(Err(IncompleteBody::Silenced)) => attempt.note_silence(context, key),
+                _ => {}
             }
             return None;
         }
@@ -73,6 +78,8 @@
 enum IncompleteBody {
     /// The connection ended before the body did.
     BrokenOff,
+    /// Nothing on the connection was acknowledged any more.
+    Silenced,
     /// The body is larger than what is buffered.
     TooLarge,
 }
@@ -82,7 +89,10 @@
     mut buffer: ResponseBuffer,
 ) -> Result<ResponseBuffer, IncompleteBody> {
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| IncompleteBody::BrokenOff)?;
+        let frame = frame.map_err(|error| match is_silenced(&error) {
+            true => IncompleteBody::Silenced,
+            false => IncompleteBody::BrokenOff,
+        })?;
         if let Some(data) = frame.data_ref() {
             if !buffer.push(data) {
                 return Err(IncompleteBody::TooLarge);
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 
 use crate::clock::ClockTime;
-use crate::fetch::is_refused;
+use crate::fetch::{is_refused, is_silenced};
 use crate::gateway::attempt_ledger::AttemptFailure;
 use crate::gateway::catalog::WorkKind;
 use crate::gateway::forward::RequestContext;
@@ -313,7 +313,9 @@
                 .state()
                 .upstreams
                 .record_exchange_failure(gateway.clock.now(), key);
-            if is_broken_off(error.error()) {
+            if is_silenced(error.error()) {
+                attempt.note_silence(context, key);
+            } else if is_broken_off(error.error()) {
                 attempt.note_crash(context, key);
             }
             return Err(failed(AttemptFailure::Lost));
--- a/standins/tests/silent_replica.rs
+++ b/standins/tests/silent_replica.rs
@@ -287,3 +287,37 @@
     );
     assert_eq!(statuses[20..], [503; 4], "{statuses:?}");
 }
+
+/// States of the timers of this host's connections to an address, as the kernel states them: `02` is a
+/// keep-alive that is due.
+fn connection_timers(address: SocketAddr) -> Vec<String> {
+    /// An established connection.
+    const ESTABLISHED: &str = "01";
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the table should be readable");
+    let port = format!(":{:04X}", address.port());
+    let rows = table.lines().skip(1).filter_map(|row| {
+        let fields: Vec<&str> = row.split_whitespace().collect();
+        let is_to = fields.get(2)?.ends_with(&port) && *fields.get(3)? == ESTABLISHED;
+        let timer = fields.get(5)?.split(':').next()?.to_owned();
+        is_to.then_some(timer)
+    });
+    rows.collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_to_replicas_that_may_have_gone_silent_are_probed() {
+    let site = start_site("silent-connections", 1).await;
+    for number in 0..20 {
+        let request = SiteRequest::lookup(&format!("l{number}"));
+        let answer = site.fetch(0, &request).await;
+        assert_eq!(answer.expect("the gateway should respond").status, 200);
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let timers: Vec<String> = site
+        .plain_addresses
+        .iter()
+        .flat_map(|address| connection_timers(*address))
+        .collect();
+    assert!(!timers.is_empty(), "no connection is kept");
+    assert!(timers.iter().all(|timer| timer == "02"), "{timers:?}");
+}
--- a/tests/gateway/silence.rs
+++ b/tests/gateway/silence.rs
@@ -1,8 +1,10 @@
 //! Tests of what the silence of replicas shows of the requests that they were running.
 
+use std::io;
 use std::sync::PoisonError;
 
 use lynxcart::clock::ClockTime;
+use lynxcart::fetch::{is_refused, is_silenced};
 use lynxcart::fingerprint::RequestFingerprint;
 use lynxcart::gateway::crash_ledger::{SharedSeries, MAX_CRASHES};
 use lynxcart::gateway::part_ledger::{PromptPart, SuspectRun};
@@ -236,3 +238,14 @@
     assert!(state.record_silence(NOW + 400, key, None, || 7));
     assert_eq!(state.blame_silent(key, NOW + 2_400).len(), 1);
 }
+
+#[test]
+fn connection_that_the_kernel_gave_up_is_told_apart_from_a_refused_one() {
+    let error = |kind| eyre::Report::new(io::Error::from(kind)).wrap_err("could not connect");
+    let silenced = error(io::ErrorKind::TimedOut);
+    assert!(is_silenced(silenced.as_ref()) && !is_refused(silenced.as_ref()));
+    let refused = error(io::ErrorKind::ConnectionRefused);
+    assert!(is_refused(refused.as_ref()) && !is_silenced(refused.as_ref()));
+    let reset = error(io::ErrorKind::ConnectionReset);
+    assert!(!is_refused(reset.as_ref()) && !is_silenced(reset.as_ref()));
+}
