--- a/src/gateway/exchange_record.rs
+++ b/src/gateway/exchange_record.rs
@@ -26,6 +26,8 @@
     Whole,
     /// The connection ended before the answer did.
     BrokenOff,
+    /// Nothing on the connection was acknowledged any more.
+    Silenced,
     /// What was received is no answer to the request.
     Invalid,
     /// The body is larger than any that is accepted.
@@ -61,7 +63,9 @@
                 ExchangeProof::Faulty
             }
             ExchangeEnd::NoRoom => ExchangeProof::Unfit,
-            ExchangeEnd::TimedOut | ExchangeEnd::NotContinued => ExchangeProof::Open,
+            ExchangeEnd::Silenced | ExchangeEnd::TimedOut | ExchangeEnd::NotContinued => {
+                ExchangeProof::Open
+            }
         }
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -213,12 +213,11 @@
                     (ExchangeEnd::BrokenOff, reason)
                 }
                 StreamStep::Broken(error) => (ExchangeEnd::BrokenOff, error),
+                StreamStep::Silenced(error) => (ExchangeEnd::Silenced, error),
                 StreamStep::Invalid(reason) => (ExchangeEnd::Invalid, reason),
             };
             self.attempt.record_exchange(&self.context, end);
-            if end == ExchangeEnd::BrokenOff {
-                self.attempt.note_crash(&self.context, upstream_key);
-            }
+            self.attempt.note_failed_end(&self.context, end);
             if let Err(abort_reason) = self.resume(&reason, self.gateway.clock.now()).await {
                 return Some(self.abort(&abort_reason));
             }
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -53,9 +53,7 @@
                 context.meta.id,
                 attempt.target.upstream_id
             );
-            if end == ExchangeEnd::BrokenOff {
-                attempt.note_crash(context, attempt.target.upstream);
-            }
+            attempt.note_failed_end(context, end);
             return None;
         }
     };
--- a/src/gateway/stream_step.rs
+++ b/src/gateway/stream_step.rs
@@ -23,6 +23,8 @@
     CutOff,
     /// The connection broke.
     Broken(String),
+    /// Nothing on the connection was acknowledged any more.
+    Silenced(String),
     /// The bytes are not those of a stream.
     Invalid(String),
 }
@@ -38,6 +40,7 @@
             Some(Err(error)) => {
                 return Some(match failed_end(&error) {
                     ExchangeEnd::BrokenOff => StreamStep::Broken(error.to_string()),
+                    ExchangeEnd::Silenced => StreamStep::Silenced(error.to_string()),
                     _ => StreamStep::Invalid(error.to_string()),
                 });
             }
--- a/src/gateway/upstream_attempt.rs
+++ b/src/gateway/upstream_attempt.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 
 use crate::clock::ClockTime;
-use crate::fetch::is_refused;
+use crate::fetch::{is_refused, is_silenced};
 use crate::gateway::attempt_ledger::{AttemptFailure, AttemptLedger};
 use crate::gateway::catalog::WorkKind;
 use crate::gateway::exchange_record::{ExchangeEnd, ExchangeProof};
@@ -149,6 +149,17 @@
         }
     }
 
+    /// Records what a failed exchange says of the replicas that the request ran on: that they crashed,
+    /// or are silent.
+    pub(super) fn note_failed_end(&mut self, context: &RequestContext, end: ExchangeEnd) {
+        let key = self.target.upstream;
+        match end {
+            ExchangeEnd::BrokenOff => self.note_crash(context, key),
+            ExchangeEnd::Silenced => self.note_silence(context, key),
+            _ => {}
+        }
+    }
+
     /// Records how long the first event of the answer took, which is of a run from its beginning.
     pub(super) fn record_lead_time(&self, service: &str) {
         if let Some(sent_at) = self.progress.sent_at {
@@ -343,9 +354,7 @@
             }
             let end = failed_end(error.error());
             attempt.record_exchange(context, end);
-            if end == ExchangeEnd::BrokenOff {
-                attempt.note_crash(context, key);
-            }
+            attempt.note_failed_end(context, end);
             return Err(failed(AttemptFailure::Lost));
         }
         None => return Err(failed(AttemptFailure::Lost)),
@@ -474,6 +483,7 @@
     use io::ErrorKind::{InvalidData, InvalidInput};
     let io_error = error.source().and_then(|source| source.downcast_ref());
     match io_error.map(io::Error::kind) {
+        _ if is_silenced(error) => ExchangeEnd::Silenced,
         Some(InvalidData | InvalidInput) => ExchangeEnd::Invalid,
         _ if error.is_parse() => ExchangeEnd::Invalid,
         _ => ExchangeEnd::BrokenOff,
