Bound what agents and entries keep of an answer without an end

What callers would see: a service, engine or store that sends bytes without an end exhausts the memory of the agent or entry that reads them, and the operations of others there end with it.

Cause: gateways bound every answer that they read; the answer of a service, a line of an engine's results and a line of the store's watch were kept whole, whatever their length. The lines were also searched from their beginning at each frame.

Why it works: the answer of a service is read up to the bound that all other answers have, and lines are read by a LineReader that gives up a line beyond 32 MiB. An operation whose answer is too large ends as one that may have run.

--- a/src/agent/upstream.rs
+++ b/src/agent/upstream.rs
@@ -9,7 +9,7 @@
 use eyre::WrapErr;
 use http::header::CONTENT_TYPE;
 use http::Request;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::Receiver;
 
@@ -18,7 +18,7 @@
     EngineCommand, EngineEvent, EngineToken, PositionOutput, SequenceKey, ServiceDispatch,
     ServiceOutcome,
 };
-use crate::fetch::{self, HttpClient};
+use crate::fetch::{self, HttpClient, LineReader};
 use crate::store::etcd::{decode, encode};
 use crate::wire::gen::ModelRole;
 use crate::wire::RequestKey;
@@ -277,29 +277,22 @@
         *up = true;
         input_sender.send(AgentInput::Engine(EngineEvent::Up))?;
     }
-    forward_results(&mut response.into_body(), input_sender, sent_times, cursor).await
+    forward_results(response.into_body(), input_sender, sent_times, cursor).await
 }
 
 async fn forward_results(
-    body: &mut hyper::body::Incoming,
+    body: hyper::body::Incoming,
     input_sender: &Sender<AgentInput>,
     sent_times: &SentTimes,
     cursor: &mut ResultCursor,
 ) -> eyre::Result<()> {
-    let mut buffer = Vec::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame?.into_data() else {
-            continue;
-        };
-        buffer.extend_from_slice(&data);
-        while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
-            let line: Vec<u8> = buffer.drain(..=end).collect();
-            let result: EngineResult = serde_json::from_slice(&line)
-                .wrap_err("could not decode a line of the engine's result stream")?;
-            cursor.results_read += 1;
-            if let Some(event) = engine_event(result, sent_times) {
-                input_sender.send(AgentInput::Engine(event))?;
-            }
+    let mut lines = LineReader::new(body);
+    while let Some(line) = lines.next_line().await? {
+        let result: EngineResult = serde_json::from_slice(&line)
+            .wrap_err("could not decode a line of the engine's result stream")?;
+        cursor.results_read += 1;
+        if let Some(event) = engine_event(result, sent_times) {
+            input_sender.send(AgentInput::Engine(event))?;
         }
     }
     Ok(())
@@ -390,13 +383,16 @@
             .and_then(|value| value.to_str().ok())
             .unwrap_or("application/octet-stream")
             .to_owned();
-        match response.into_body().collect().await {
-            Ok(body) => ServiceOutcome::Answered {
+        match fetch::read_whole(response, fetch::MAX_BODY_BYTES).await {
+            Ok(response) => ServiceOutcome::Answered {
                 status,
                 content_type,
-                body: body.to_bytes().to_vec(),
+                body: response.into_body().to_vec(),
             },
-            Err(_) => ServiceOutcome::Unknown,
+            Err(error) => {
+                spdlog::warn!("event=service_answer_failed address={address} error=\"{error:#}\"");
+                ServiceOutcome::Unknown
+            }
         }
     };
     tokio::time::timeout(remaining, exchange)
--- a/src/fetch.rs
+++ b/src/fetch.rs
@@ -1,7 +1,7 @@
 //! HTTP client helpers on top of hyper-util.
 
-use bytes::Bytes;
-use eyre::{eyre, WrapErr};
+use bytes::{Bytes, BytesMut};
+use eyre::{ensure, eyre, WrapErr};
 use http::header::CONTENT_TYPE;
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -15,6 +15,9 @@
 /// watch returns all changes since the last one.
 pub const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
 
+/// Longest line of a response that is read line by line, bytes.
+pub const MAX_LINE_BYTES: usize = 32 * 1024 * 1024;
+
 /// HTTP client for requests with a complete body.
 pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
@@ -143,3 +146,51 @@
     let body = body.map_err(|error| eyre!("could not read the body of a response: {error}"))?;
     Ok(Response::from_parts(head, body.to_bytes()))
 }
+
+/// Reads the body of a response line by line, while it is received.
+#[derive(Debug)]
+pub struct LineReader {
+    body: Incoming,
+    buffer: BytesMut,
+    /// Length of the start of the buffer that contains no line end.
+    searched: usize,
+}
+
+impl LineReader {
+    /// Creates a reader at the start of a body.
+    pub fn new(body: Incoming) -> LineReader {
+        LineReader {
+            body,
+            buffer: BytesMut::new(),
+            searched: 0,
+        }
+    }
+
+    /// Returns the next line with its line end, or `None` at the end of the body. A last line without
+    /// a line end is dropped.
+    ///
+    /// # Errors
+    ///
+    /// If the body breaks off or a line is longer than [`MAX_LINE_BYTES`].
+    pub async fn next_line(&mut self) -> eyre::Result<Option<Bytes>> {
+        loop {
+            let rest = &self.buffer[self.searched..];
+            if let Some(at) = rest.iter().position(|byte| *byte == b'\n') {
+                let line = self.buffer.split_to(self.searched + at + 1);
+                self.searched = 0;
+                return Ok(Some(line.freeze()));
+            }
+            self.searched = self.buffer.len();
+            ensure!(
+                self.searched <= MAX_LINE_BYTES,
+                "a line of the response is longer than {MAX_LINE_BYTES} bytes"
+            );
+            let Some(frame) = self.body.frame().await else {
+                return Ok(None);
+            };
+            if let Ok(data) = frame?.into_data() {
+                self.buffer.extend_from_slice(&data);
+            }
+        }
+    }
+}
--- a/src/store/etcd.rs
+++ b/src/store/etcd.rs
@@ -4,11 +4,10 @@
 
 use base64::engine::general_purpose::STANDARD as BASE64;
 use base64::Engine;
-use http_body_util::BodyExt;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
-use crate::fetch::{post_json, post_stream, HttpClient};
+use crate::fetch::{post_json, post_stream, HttpClient, LineReader};
 use crate::store::{
     PlatformCompare, PlatformError, PlatformFuture, PlatformItem, PlatformRequest,
     PlatformResponse, PlatformResult, PlatformStore, PlatformWrite,
@@ -128,20 +127,12 @@
             "start_revision": start_revision.to_string(),
         }});
         let url = format!("http://{}/v3/watch", self.address);
-        let mut stream = post_stream(&self.client, &url, &body).await?;
-        let mut buffer = Vec::new();
-        while let Some(frame) = stream.frame().await {
-            let Ok(data) = frame?.into_data() else {
-                continue;
-            };
-            buffer.extend_from_slice(&data);
-            while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
-                let line: Vec<u8> = buffer.drain(..=end).collect();
-                let message: WatchMessage = serde_json::from_slice(&line)?;
-                let events = message.result.events.into_iter();
-                let items = events.map(|event| PlatformItem::from(event.kv)).collect();
-                on_batch(parse_number(&message.result.header.revision), items);
-            }
+        let mut lines = LineReader::new(post_stream(&self.client, &url, &body).await?);
+        while let Some(line) = lines.next_line().await? {
+            let message: WatchMessage = serde_json::from_slice(&line)?;
+            let events = message.result.events.into_iter();
+            let items = events.map(|event| PlatformItem::from(event.kv)).collect();
+            on_batch(parse_number(&message.result.header.revision), items);
         }
         Ok(())
     }
