--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -23,4 +23,7 @@
 pub mod service;
 pub mod site;
 pub mod soak;
+mod soak_caller;
+mod soak_check;
+mod soak_fault;
 mod soak_limit;
