--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! are processes of their own, whose faults are switched over HTTP at run time. For gateways
 //! (`site`), the key-value store and the replicas are tasks of the test or benchmark process.
 
+pub mod connection;
 pub mod counting_allocator;
 pub mod direct;
 pub mod engine;
@@ -18,10 +19,12 @@
 pub mod proxy;
 pub mod raw;
 pub mod replica;
+mod replica_state;
 pub mod scaling;
 pub mod server;
 pub mod service;
 pub mod site;
+mod site_request;
 pub mod soak;
 mod soak_caller;
 mod soak_check;
--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -11,14 +11,17 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_util::StreamExt;
 use http::{HeaderMap, Request};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use serde_json::{json, Value};
 use tokio::net::TcpListener;
 
+pub use crate::replica_state::{Arrival, ReplicaFault, ReplicaState, RunRecord};
 use crate::server::{
-    json_response, no_response, read_body, serve_on, text_response, ServerResponse,
+    cut_in_head, json_response, no_response, read_body, serve_silenced, text_response,
+    ServerResponse,
 };
 
 /// Interval between two events of a stream, in milliseconds.
@@ -26,6 +29,13 @@
 /// Time that a plain service takes for a request, in milliseconds.
 const SERVICE_TIME_MS: u64 = 20;
 
+/// Interval of the checks whether a replica is silent, in milliseconds.
+const SILENCE_POLL_MS: u64 = 10;
+/// Size of each part of a body without an end, in bytes.
+const ENDLESS_PART_BYTES: usize = 4 * 1024;
+/// Interval between two parts of a body without an end, in milliseconds.
+const ENDLESS_INTERVAL_MS: u64 = 1;
+
 /// Time after which a replica that a request crashed is back in a new incarnation, in milliseconds.
 const CRASH_DOWN_MS: u64 = 1_500;
 /// Interval of the checks whether a replica has crashed or is back, in milliseconds.
@@ -49,90 +59,6 @@
     parts.any(|part| part.split(':').next() == Some(CRASHING_PART))
 }
 
-/// Fault of a plain service, switched at run time with [`ReplicaTable::change`].
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum ReplicaFault {
-    /// No fault.
-    #[default]
-    None,
-    /// Runs the request and sends the response head, then closes the connection before the body.
-    LosesResponse,
-    /// Refuses with 503 and does not run the request.
-    Refuses,
-    /// Answers with 500 and does not run the request.
-    Fails,
-    /// Runs the request and responds with the id of another one in `x-attempt-id`.
-    WrongRequestId,
-}
-
-/// State of one replica. Tests change it to inject faults.
-#[derive(Clone, Debug, Default)]
-pub struct ReplicaState {
-    /// Id in the registry, compared with `x-expect-replica`.
-    pub id: String,
-    /// Incarnation, `born` in the registry; a higher value means that the replica was restarted.
-    pub incarnation: u64,
-    /// First layer held and the layer after the last one held; `(0, 0)` before the first order.
-    pub layers: (u64, u64),
-    /// Number of layer orders accepted in this incarnation, `sequence` in reports.
-    pub accepted_orders: u64,
-    /// Highest fencing token accepted; orders with a lower one get 412.
-    pub fencing_token: u64,
-    /// Whether the replica is dead. Its registry entry is then no longer updated, new streams over
-    /// it are refused with 503, streams that have it as the first hop of their chain break off, and
-    /// streams that have it as a later hop stall. Reports and orders are still answered.
-    pub dead: bool,
-    /// Whether a request has crashed the replica and it is not back yet: it closes its connections
-    /// without an answer and accepts none, and its registry entry is not updated. Streams over it
-    /// that are not moved to another chain by then break off when it is back.
-    pub crashed: bool,
-    /// Fault in force, for a plain service.
-    pub fault: ReplicaFault,
-    /// Whether each stream is answered with the text of an error and status 200, and not run.
-    pub answers_error: bool,
-    /// Whether every answer says that the replica is leaving (`server-leaving`). The registry is
-    /// not told.
-    pub leaving: bool,
-    /// Text of `retry-after` with which each request is refused; empty for none.
-    pub rest: &'static str,
-    /// Values of `server-limit` in every answer; empty for none.
-    pub limits: &'static [&'static str],
-    /// Number of callers' requests that reached the replica, also those that it refused.
-    pub arrivals: u32,
-    /// Requests of any kind that reached the replica, those of the gateways' own included.
-    pub arrivals_at: Vec<Arrival>,
-}
-
-/// A request that reached a replica.
-#[derive(Clone, Copy, Debug)]
-pub struct Arrival {
-    /// When it arrived.
-    pub at: Instant,
-    /// Incarnation of the replica.
-    pub incarnation: u64,
-    /// Limits that the replica names in its answer.
-    pub limits: &'static [&'static str],
-}
-
-/// One run of a request by a replica, recorded when it starts.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RunRecord {
-    /// Value of `x-attempt-id`.
-    pub request_id: String,
-    /// Address of the replica.
-    pub replica: SocketAddr,
-    /// Value of `x-tenant`.
-    pub team: String,
-    /// Whether the request still carried the caller's `x-api-key`.
-    pub has_api_key: bool,
-    /// Value of `x-hops`, for a model; otherwise empty.
-    pub chain: String,
-    /// Request body.
-    pub body: String,
-    /// Incarnation of the replica if it says in its answers that it is leaving.
-    pub leaving: Option<u64>,
-}
-
 #[derive(Debug, Default)]
 struct TableData {
     replicas: HashMap<SocketAddr, ReplicaState>,
@@ -224,6 +150,11 @@
         let state = self.replicas.get(&address);
         state.is_none_or(|state| state.dead || state.crashed)
     }
+
+    fn is_silent(&self, address: SocketAddr) -> bool {
+        let state = self.replicas.get(&address);
+        state.is_some_and(|state| state.silent)
+    }
 }
 
 impl ReplicaTable {
@@ -258,6 +189,12 @@
         self.data().runs.clone()
     }
 
+    /// Returns the number of runs of a request so far.
+    pub fn run_count(&self, id: &str) -> usize {
+        let data = self.data();
+        data.runs.iter().filter(|run| run.request_id == id).count()
+    }
+
     /// Returns the times at which requests crashed replicas so far, in order.
     pub fn crashes(&self) -> Vec<Instant> {
         self.data().crashes.clone()
@@ -304,7 +241,9 @@
                 continue;
             };
             let table = self.clone();
-            let server = serve_on(open, move |request| table.clone().handle(address, request));
+            let silences = self.state(address).silences;
+            let handler = move |request| table.clone().handle(address, request);
+            let server = serve_silenced(open, silences, handler);
             tokio::select! {
                 end = server => return end,
                 () = self.wait_for_crash(address) => {}
@@ -318,7 +257,14 @@
         }
     }
 
+    async fn wait_while_silent(&self, address: SocketAddr) {
+        while self.data().is_silent(address) {
+            tokio::time::sleep(Duration::from_millis(SILENCE_POLL_MS)).await;
+        }
+    }
+
     async fn handle(self, address: SocketAddr, request: Request<Incoming>) -> ServerResponse {
+        self.wait_while_silent(address).await;
         let before = self.state(address);
         if before.crashed {
             return no_response();
@@ -333,6 +279,7 @@
         let leaving = before.leaving;
         let request_id = request.headers().get("x-attempt-id").cloned();
         let mut response = self.clone().handle_request(address, request).await;
+        self.wait_while_silent(address).await;
         let after = self.state(address);
         if after.crashed || after.incarnation != before.incarnation {
             return no_response();
@@ -448,6 +395,7 @@
             chain: header_value(headers, "x-hops").to_owned(),
             body: String::from_utf8_lossy(body).into_owned(),
             leaving: state.leaving.then_some(state.incarnation),
+            fault: state.fault,
         });
     }
 
@@ -480,11 +428,19 @@
             ReplicaFault::WrongRequestId => "another",
             _ => header_value(headers, "x-attempt-id"),
         };
-        if state.fault == ReplicaFault::LosesResponse {
-            let broken_body = futures_util::stream::iter([Err(io::Error::other("lost"))]);
-            return replica_response(id, StreamBody::new(broken_body).boxed_unsync());
+        let cut_after = |length: usize| {
+            let sent = Frame::data(body.slice(..length));
+            let parts = [Ok(sent), Err(io::Error::other("lost"))];
+            StreamBody::new(futures_util::stream::iter(parts)).boxed_unsync()
+        };
+        let whole = || replica_response(id, text_response(200, body.clone()).into_body());
+        match state.fault {
+            ReplicaFault::LosesResponse => replica_response(id, cut_after(0)),
+            ReplicaFault::CutsBody => replica_response(id, cut_after(body.len() / 2)),
+            ReplicaFault::CutsHead => cut_in_head(whole()),
+            ReplicaFault::EndlessBody => replica_response(id, endless_body()),
+            _ => whole(),
         }
-        replica_response(id, text_response(200, body.clone()).into_body())
     }
 
     /// Serves a stream at the first replica of a chain. It resumes after `last-event-id` and ends
@@ -579,6 +535,9 @@
                 return false;
             }
             let chain = data.chains.get(id).cloned().unwrap_or_default();
+            if chain.iter().any(|hop| data.is_silent(*hop)) {
+                continue;
+            }
             match chain.into_iter().find(|hop| data.is_dead(*hop)) {
                 Some(hop) => {
                     data.stalled.insert(id.to_owned(), hop);
@@ -592,6 +551,15 @@
     }
 }
 
+fn endless_body() -> crate::server::ServerBody {
+    let parts = futures_util::stream::repeat_with(|| vec![b'x'; ENDLESS_PART_BYTES]);
+    let parts = parts.then(|part| async {
+        tokio::time::sleep(Duration::from_millis(ENDLESS_INTERVAL_MS)).await;
+        Ok(Frame::data(Bytes::from(part)))
+    });
+    StreamBody::new(parts).boxed_unsync()
+}
+
 /// Builds a response with status 200, a body and the headers that replicas set: `x-attempt-id` and
 /// `x-replica-stamp`.
 fn replica_response(id: &str, body: crate::server::ServerBody) -> ServerResponse {
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -16,6 +16,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedReceiver;
 
+use crate::connection::{HeadCut, ServerConnection, SilenceCount};
+
 /// Body of a response, complete or streamed.
 pub type ServerBody = UnsyncBoxBody<Bytes, io::Error>;
 /// Response of a stand-in.
@@ -25,6 +27,16 @@
 #[derive(Clone, Copy, Debug)]
 struct Unsent;
 
+/// Extension of a response whose connection is closed in the middle of its head.
+#[derive(Clone, Copy, Debug)]
+struct CutInHead;
+
+/// Has the connection closed in the middle of the response's head.
+pub fn cut_in_head(mut response: ServerResponse) -> ServerResponse {
+    response.extensions_mut().insert(CutInHead);
+    response
+}
+
 /// Builds a response in place of which the connection is closed.
 pub fn no_response() -> ServerResponse {
     let mut response = text_response(500, "");
@@ -51,6 +63,24 @@
 ///
 /// If a connection cannot be accepted.
 pub async fn serve_on<F, R>(listener: TcpListener, handler: F) -> eyre::Result<()>
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
+    R: Future<Output = ServerResponse> + Send + 'static,
+{
+    serve_silenced(listener, SilenceCount::default(), handler).await
+}
+
+/// Serves requests on `listener` with `handler`, on connections that `silences` can silence, until
+/// accepting a connection fails.
+///
+/// # Errors
+///
+/// If a connection cannot be accepted.
+pub async fn serve_silenced<F, R>(
+    listener: TcpListener,
+    silences: SilenceCount,
+    handler: F,
+) -> eyre::Result<()>
 where
     F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
     R: Future<Output = ServerResponse> + Send + 'static,
@@ -63,11 +93,17 @@
             continue;
         }
         let handler = handler.clone();
+        let head_cut = HeadCut::default();
+        let connection = ServerConnection::new(socket, silences.clone(), head_cut.clone());
         tokio::spawn(async move {
             let service = service_fn(move |request| {
                 let response = handler(request);
+                let head_cut = head_cut.clone();
                 async move {
                     let response = response.await;
+                    if let Some(CutInHead) = response.extensions().get() {
+                        head_cut.set();
+                    }
                     match response.extensions().get() {
                         Some(Unsent) => Err(io::Error::other("closed without a response")),
                         None => Ok(response),
@@ -76,7 +112,7 @@
             });
             // An error means that the connection broke, which the client notices itself.
             let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(socket), service)
+                .serve_connection(TokioIo::new(connection), service)
                 .await;
         });
     }
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -7,8 +7,6 @@
 use std::time::{Duration, Instant};
 
 use eyre::{ensure, eyre};
-use http::{HeaderMap, Request};
-use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use lynxcart::fetch::{self, HttpClient};
 use serde_json::{json, Value};
@@ -18,13 +16,13 @@
 use crate::process::{free_address, start_lynxcart, FleetProcess};
 use crate::proxy::TcpProxy;
 use crate::replica::{ReplicaState, ReplicaTable};
+pub use crate::site_request::{
+    read_response, read_up_to, send, SiteRequest, SiteResponse, API_KEY, DEADLINE_MS,
+    SECOND_API_KEY,
+};
 
 /// Number of layers of the model.
 pub const LAYERS: u64 = 8;
-/// API key of the team `mill` in the site's first configuration document.
-pub const API_KEY: &str = "key-of-mill";
-/// Deadline that requests carry in `x-deadline-ms`, in milliseconds.
-pub const DEADLINE_MS: u64 = 8_000;
 /// Interval between two updates of a replica's registry entry, in milliseconds.
 const HEARTBEAT_MS: u64 = 300;
 /// Longest time to wait for a gateway's readiness to change, in milliseconds.
@@ -50,6 +48,8 @@
     client: HttpClient,
     config_version: u64,
     api_keys: Vec<String>,
+    /// Prefix of the route that the configuration leaves out.
+    absent_route: Option<&'static str>,
     /// Limits on callers in the configuration; null for the gateways' defaults.
     limits: Value,
     log_dir: PathBuf,
@@ -70,85 +70,13 @@
     start_count: u32,
 }
 
-/// A request that a caller sends to a gateway.
-#[derive(Clone, Debug)]
-pub struct SiteRequest {
-    /// Value of `x-attempt-id`, unique for each request.
-    pub id: String,
-    /// Request path, which selects the route.
-    pub path: &'static str,
-    /// API key of the caller.
-    pub api_key: &'static str,
-    /// Number of events requested of a stream; zero for the plain service.
-    pub event_count: u64,
-    /// Request body; a text that names the request if it is empty.
-    pub body: &'static str,
-    /// Ids of the parts of the prompt that other requests share, separated by commas; the request's
-    /// own part is added. Empty for a prompt whose parts are not stated.
-    pub shared_parts: &'static str,
-}
-
-impl SiteRequest {
-    /// Builds a request to the model for a stream of `event_count` events.
-    pub fn stream(id: &str, event_count: u64) -> SiteRequest {
-        SiteRequest {
-            id: id.to_owned(),
-            path: "/model/x",
-            api_key: API_KEY,
-            event_count,
-            body: "",
-            shared_parts: "",
-        }
-    }
-
-    /// Builds a request to the plain service on the non-idempotent route, which must run at most
-    /// once.
-    pub fn issue(id: &str) -> SiteRequest {
-        SiteRequest {
-            id: id.to_owned(),
-            path: "/issue/x",
-            api_key: API_KEY,
-            event_count: 0,
-            body: "",
-            shared_parts: "",
-        }
-    }
-
-    /// Builds a request to the plain service on the idempotent route, which may be retried.
-    pub fn lookup(id: &str) -> SiteRequest {
-        SiteRequest {
-            path: "/lookup/x",
-            ..SiteRequest::issue(id)
-        }
-    }
-}
-
-/// A response as received by a caller.
-#[derive(Clone, Debug)]
-pub struct SiteResponse {
-    /// HTTP status code.
-    pub status: u16,
-    /// Response headers.
-    pub headers: HeaderMap,
-    /// Body, or the received part of it, with invalid UTF-8 replaced.
-    pub body: String,
-    /// Longest wait for a frame of the body.
-    pub longest_pause: Duration,
-}
-
-impl SiteResponse {
-    /// Returns the event ids of a stream, in the order received.
-    pub fn event_ids(&self) -> Vec<u64> {
-        let lines = self
-            .body
-            .lines()
-            .filter_map(|line| line.strip_prefix("id: "));
-        lines.filter_map(|id| id.parse().ok()).collect()
-    }
-}
-
 /// Builds a configuration document with one route of each kind.
-fn config_document(version: u64, api_keys: &[String], limits: &Value) -> Value {
+fn config_document(
+    version: u64,
+    api_keys: &[String],
+    absent_route: Option<&str>,
+    limits: &Value,
+) -> Value {
     let route = |prefix: &str, kind: &str, service: &str, max_attempts: u64| {
         json!({
             "name": prefix, "host": "site.example", "prefix": prefix, "kind": kind,
@@ -157,13 +85,15 @@
             "gap_target_ms": 250,
         })
     };
+    let mut routes = vec![
+        route("/model/", "streaming", "model", 2),
+        route("/issue/", "non_idempotent", "plain", 2),
+        route("/lookup/", "idempotent", "plain", 2),
+    ];
+    routes.retain(|route| route["prefix"].as_str() != absent_route);
     let mut document = json!({
         "version": version,
-        "routes": [
-            route("/model/", "streaming", "model", 2),
-            route("/issue/", "non_idempotent", "plain", 2),
-            route("/lookup/", "idempotent", "plain", 2),
-        ],
+        "routes": routes,
         "services": [
             {"name": "model", "health_path": "/healthz", "max_connections": 1_000, "engine": {
                 "slots": 64, "kv_bytes": 8_000_000, "stride": 4, "step_ms": 1.0, "per_seq_ms": 0.01,
@@ -220,13 +150,14 @@
             client: fetch::unpooled_client(),
             config_version: 1,
             api_keys: vec![API_KEY.to_owned()],
+            absent_route: None,
             limits: Value::Null,
             log_dir,
             settings: settings.to_vec(),
         };
         site.store.put(
             "op/config",
-            &config_document(1, &site.api_keys, &site.limits),
+            &config_document(1, &site.api_keys, None, &site.limits),
         );
         for number in 0..6 {
             let domain = if number < 3 { "a" } else { "b" };
@@ -269,7 +200,7 @@
         tokio::spawn(async move {
             for heartbeat_number in 0_u64.. {
                 let state = replicas.state(address);
-                if !state.dead && !state.crashed {
+                if !state.dead && !state.crashed && !state.silent {
                     let kind = if service == "model" { "card" } else { "" };
                     let entry = json!({
                         "service": service, "address": address.to_string(), "zone": domain,
@@ -366,6 +297,12 @@
         self.publish_config();
     }
 
+    /// Publishes a newer configuration that leaves out the route with a prefix, or none.
+    pub fn set_absent_route(&mut self, prefix: Option<&'static str>) {
+        self.absent_route = prefix;
+        self.publish_config();
+    }
+
     /// Publishes a newer configuration with these limits on callers.
     pub fn set_limits(&mut self, limits: Value) {
         self.limits = limits;
@@ -380,7 +317,12 @@
 
     /// Writes the newest configuration again, as the operator does after a restore of the store.
     pub fn rewrite_config(&self) {
-        let document = config_document(self.config_version, &self.api_keys, &self.limits);
+        let document = config_document(
+            self.config_version,
+            &self.api_keys,
+            self.absent_route,
+            &self.limits,
+        );
         self.store.put("op/config", &document);
     }
 
@@ -433,8 +375,7 @@
 
     /// Returns how often replicas ran a request.
     pub fn run_count(&self, id: &str) -> usize {
-        let runs = self.replicas.runs();
-        runs.iter().filter(|run| run.request_id == id).count()
+        self.replicas.run_count(id)
     }
 
     /// Sends 20 requests to a gateway and returns how many of them reached a replica of the plain
@@ -469,82 +410,3 @@
         Err(eyre!("stream {id} has not started at any replica"))
     }
 }
-
-/// Sends a request to the gateway at an address. Returns the response with its body still unread.
-///
-/// # Errors
-///
-/// If no response head is received.
-pub async fn send(
-    client: &HttpClient,
-    address: SocketAddr,
-    request: &SiteRequest,
-) -> eyre::Result<http::Response<Incoming>> {
-    let body = match request.body {
-        "" => format!("body of {}", request.id),
-        body => body.to_owned(),
-    };
-    let mut http_request = Request::post(format!("http://{address}{}", request.path))
-        .header("host", "site.example")
-        .header("x-attempt-id", &request.id)
-        .header("x-api-key", request.api_key)
-        .header("x-tenant", "forged")
-        .header("x-deadline-ms", DEADLINE_MS.to_string())
-        .header("x-token-count", format!("20,{}", request.event_count));
-    if !request.shared_parts.is_empty() {
-        let own_part = blake3::hash(request.id.as_bytes()).to_hex();
-        let shared = request.shared_parts.split(',');
-        let parts = shared.map(|part| format!("{part}:5"));
-        let prefix = parts.chain([format!("{}:5", &own_part[..8])]);
-        http_request = http_request.header("x-prompt-prefix", prefix.collect::<Vec<_>>().join(","));
-    }
-    Ok(client.request(http_request.body(Full::from(body))?).await?)
-}
-
-/// Reads the whole body of a response.
-///
-/// # Errors
-///
-/// If the body is cut short or is not UTF-8.
-pub async fn read_response(response: http::Response<Incoming>) -> eyre::Result<SiteResponse> {
-    let (received, end) = read_up_to(response, usize::MAX).await;
-    end?;
-    Ok(received)
-}
-
-/// Reads the body of a response until it ends, fails or has at least `max_bytes` bytes. Returns the
-/// received part and how the body ended.
-pub async fn read_up_to(
-    response: http::Response<Incoming>,
-    max_bytes: usize,
-) -> (SiteResponse, eyre::Result<()>) {
-    let (head, mut incoming) = response.into_parts();
-    let (mut body, mut longest_pause) = (Vec::new(), Duration::ZERO);
-    let mut last_frame = Instant::now();
-    let mut end = Ok(());
-    while let Some(frame) = incoming.frame().await {
-        longest_pause = longest_pause.max(last_frame.elapsed());
-        last_frame = Instant::now();
-        match frame {
-            Ok(frame) => body.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data)),
-            Err(error) => {
-                end = Err(error.into());
-                break;
-            }
-        }
-        if body.len() >= max_bytes {
-            break;
-        }
-    }
-    let text = String::from_utf8_lossy(&body).into_owned();
-    if end.is_ok() {
-        end = std::str::from_utf8(&body).map(|_| ()).map_err(Into::into);
-    }
-    let received = SiteResponse {
-        status: head.status.as_u16(),
-        headers: head.headers,
-        body: text,
-        longest_pause,
-    };
-    (received, end)
-}
