Have the soak check that no request is lost

New faults: replicas that are sound but silent for 0.6 to 1.5 s, open connections to replicas that go silent for good, plain answers that are cut in the head or body or never end, configurations without a route or a key or with lower limits, and planned stops, alone or one gateway after the other, some with a second SIGTERM. SIGHUPs come three in a row. New callers keep their connection, send bodies of 8 to 900 kB, in chunks or some time after the head, and send some requests that are refused at the head.

New checks: LOST; a gateway exits within grace_s of SIGTERM with a code of its own; a denial (401, 403, 404, 413) is one that a configuration in force makes, and the request has not run. faults.log in the log directory says when each fault began and how long it lasted.

One existing check changes. A response had to end within the deadline and 0.5 s; time in which the gateway was suspended no longer counts in it.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -28,5 +28,7 @@
 pub mod soak;
 mod soak_caller;
 mod soak_check;
+mod soak_connection;
 mod soak_fault;
 mod soak_limit;
+mod soak_schedule;
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -2,18 +2,18 @@
 //! gateways and the store fail in an order drawn from a seed. Afterwards the responses that callers
 //! received are checked against the requests that replicas ran.
 
-use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use eyre::WrapErr;
 use tokio::task::JoinSet;
 
-use crate::site::TestSite;
-use crate::soak_caller::{crashes_by_part, run_caller};
-use crate::soak_check::{check_crashes, check_leaving, check_recovery, check_requests};
-use crate::soak_fault::inject_faults;
+use crate::site::{TestSite, API_KEY, SECOND_API_KEY};
+use crate::soak_caller::{crashes_by_part, run_caller, SoakBalancer};
+use crate::soak_check::{check_crashes, check_leaving, check_lost, check_recovery, check_requests};
 use crate::soak_limit::{check_limits, name_limits, names_limits};
+use crate::soak_schedule::{inject_faults, FaultLog};
 
 /// Number of concurrent callers.
 const CALLERS: usize = 16;
@@ -41,6 +41,8 @@
     pub served: usize,
     /// Number of requests refused with a status that guarantees that they did not run.
     pub refused: usize,
+    /// Number of requests that were not sent whole before their connection ended without an answer.
+    pub cut_off: usize,
     /// Number of faults injected.
     pub faults: usize,
 }
@@ -49,8 +51,8 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(
             f,
-            "calls={} served={} refused={} faults={}",
-            self.requests, self.served, self.refused, self.faults
+            "calls={} served={} refused={} cut_off={} faults={}",
+            self.requests, self.served, self.refused, self.cut_off, self.faults
         )
     }
 }
@@ -63,18 +65,17 @@
 /// run or gateway concerned, or the share of requests that were served.
 pub async fn run_soak(setup: &SoakSetup) -> eyre::Result<SoakReport> {
     let mut site = TestSite::start(setup.log_dir.clone(), setup.gateways).await?;
+    let faults = FaultLog::new(Instant::now());
+    site.set_api_keys(&[API_KEY, SECOND_API_KEY]);
     let end = Instant::now() + setup.duration;
-    let front_addresses: Vec<SocketAddr> = site
-        .gateways
-        .iter()
-        .map(|gateway| gateway.process.http_address)
-        .collect();
+    let gateways = site.gateways.iter();
+    let balancer = SoakBalancer::new(gateways.map(|gateway| gateway.process.http_address));
+    let balancer = Arc::new(balancer);
     let mut callers = JoinSet::new();
     let by_part = crashes_by_part(setup.seed);
     for number in 0..CALLERS {
         let seed = setup.seed * CALLERS as u64 + number as u64;
-        let front_addresses = front_addresses.clone();
-        callers.spawn(run_caller(number, front_addresses, end, seed, by_part));
+        callers.spawn(run_caller(number, balancer.clone(), end, seed, by_part));
     }
     let mut limited = site.plain_addresses.clone();
     limited.extend_from_slice(&site.model_addresses);
@@ -82,18 +83,21 @@
         let table = site.replicas.clone();
         tokio::spawn(name_limits(table, limited.clone(), end, setup.seed));
     }
-    let faults = inject_faults(&mut site, end, setup.seed).await?;
+    let faults = inject_faults(&mut site, &balancer, faults, end, setup.seed).await?;
     let mut records = Vec::new();
     while let Some(joined) = callers.join_next().await {
         records.extend(joined?);
     }
+    faults.write(&setup.log_dir.join("faults.log"))?;
+    check_lost(&site, &records, &faults)
+        .wrap_err_with(|| format!("seed {}, logs in {}", setup.seed, setup.log_dir.display()))?;
     check_recovery(&site).await?;
     check_crashes(&site, &faults, by_part)?;
     check_leaving(&site, &records)?;
     check_limits(&site.replicas, &limited)
         .wrap_err_with(|| format!("seed {}, logs in {}", setup.seed, setup.log_dir.display()))?;
-    let mut report = check_requests(&site, &records)
+    let mut report = check_requests(&site, &records, &faults)
         .wrap_err_with(|| format!("seed {}, logs in {}", setup.seed, setup.log_dir.display()))?;
-    report.faults = faults.count;
+    report.faults = faults.count();
     Ok(report)
 }
--- a/standins/src/soak_check.rs
+++ b/standins/src/soak_check.rs
@@ -2,15 +2,18 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use eyre::{ensure, WrapErr};
 
-use crate::replica::CRASHES_FIRST;
-use crate::site::{SiteRequest, TestSite, DEADLINE_MS, LAYERS};
+use crate::replica::ReplicaFault;
+use crate::site::{SiteRequest, TestSite, DEADLINE_MS, LAYERS, SECOND_API_KEY};
 use crate::soak::SoakReport;
-use crate::soak_caller::{is_crashing, RequestRecord, DEADLINE_SLACK_MS};
-use crate::soak_fault::{FaultLog, CONTACT_MS};
+use crate::soak_caller::{
+    is_crashing, RequestRecord, ABSENT_PATH, DEADLINE_SLACK_MS, UNKNOWN_API_KEY,
+};
+use crate::soak_fault::{SoakFault, LOWERED_BODY_BYTES};
+use crate::soak_schedule::{FaultLog, CONTACT_MS};
 
 /// Time after the last fault within which every gateway must serve requests again, in milliseconds.
 /// The users require `recover_s` = 12 s.
@@ -30,6 +33,12 @@
 /// milliseconds. It is the shortest of the users' sites.
 const LEAVE_MS: u64 = 2_000;
 
+/// Number of lost requests that an error shows.
+const MAX_LOST_SHOWN: usize = 5;
+/// Time after the end of a request within which the close of its connection may have crossed it, in
+/// milliseconds. It is the users'.
+const LOSS_SLACK_MS: u64 = 200;
+
 /// Checks that each gateway serves a stream and a plain request within [`RECOVERY_LIMIT_MS`] after
 /// the last fault.
 pub(crate) async fn check_recovery(site: &TestSite) -> eyre::Result<()> {
@@ -120,22 +129,117 @@
     Ok(())
 }
 
+/// Checks that each request that a running gateway took whole ended with an answer or a refusal, or a
+/// stream with a body that broke off.
+pub(crate) fn check_lost(
+    site: &TestSite,
+    records: &[RequestRecord],
+    faults: &FaultLog,
+) -> eyre::Result<()> {
+    let lost = records
+        .iter()
+        .filter(|record| is_lost(site, record, faults));
+    let lost: Vec<String> = lost.map(|record| describe_lost(site, record)).collect();
+    ensure!(
+        lost.is_empty(),
+        "{} of {} requests ended with neither an answer nor a refusal:\n{}",
+        lost.len(),
+        records.len(),
+        lost[..lost.len().min(MAX_LOST_SHOWN)].join("\n")
+    );
+    Ok(())
+}
+
+fn describe_lost(site: &TestSite, record: &RequestRecord) -> String {
+    let RequestRecord {
+        request, response, ..
+    } = record;
+    let age_s = record.started_at.elapsed().as_secs_f64();
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let now_s = now.map_or(0.0, |now| now.as_secs_f64());
+    let status = response.as_ref().map_or(0, |(response, _)| response.status);
+    format!(
+        "id={} unix_s={:.3} gateway={} path={} body_bytes={} elapsed_ms={} runs={} on_kept={} status={status}",
+        request.id,
+        now_s - age_s,
+        gateway_number(site, record),
+        request.path,
+        request.body_text().len(),
+        record.elapsed.as_millis(),
+        site.run_count(&request.id),
+        record.on_kept,
+    )
+}
+
+fn gateway_number(site: &TestSite, record: &RequestRecord) -> usize {
+    let mut gateways = site.gateways.iter();
+    let number = gateways.position(|gateway| gateway.process.http_address == record.gateway);
+    number.unwrap_or(usize::MAX)
+}
+
+fn is_lost(site: &TestSite, record: &RequestRecord, faults: &FaultLog) -> bool {
+    let ended_at = record.started_at + record.elapsed;
+    let number = gateway_number(site, record);
+    let halted = faults.halted_time(number, record.started_at, ended_at);
+    if !record.progress.sent_whole || halted.is_some() {
+        return false;
+    }
+    let is_quick = record.elapsed <= Duration::from_millis(LOSS_SLACK_MS);
+    match &record.response {
+        // A request that crosses the close of an idle connection and is not passed on is not lost.
+        None if record.on_kept && record.progress.received == 0 && is_quick => {
+            site.run_count(&record.request.id) > 0
+        }
+        None => true,
+        Some((_, is_whole)) if *is_whole || record.disconnects_early => false,
+        Some(_) if record.request.event_count > 0 => false,
+        // An answer may end early where its replica broke off or the deadline has passed.
+        Some(_) => {
+            record.elapsed < Duration::from_millis(DEADLINE_MS)
+                && !was_broken_off(site, &record.request)
+        }
+    }
+}
+
+/// Whether a replica broke off its answer to a request.
+fn was_broken_off(site: &TestSite, request: &SiteRequest) -> bool {
+    let runs = site.replicas.runs();
+    let mut runs = runs.iter().filter(|run| run.request_id == request.id);
+    runs.any(|run| {
+        matches!(
+            run.fault,
+            ReplicaFault::LosesResponse
+                | ReplicaFault::EndlessBody
+                | ReplicaFault::CutsHead
+                | ReplicaFault::CutsBody
+        )
+    })
+}
+
 /// Checks all runs and all received responses, and that enough requests were served.
 pub(crate) fn check_requests(
     site: &TestSite,
     records: &[RequestRecord],
+    faults: &FaultLog,
 ) -> eyre::Result<SoakReport> {
     let mut report = SoakReport {
         requests: records.len(),
         ..SoakReport::default()
     };
+    let bodies = records
+        .iter()
+        .map(|record| (&record.request.id[..], record.request.body_text()));
+    let bodies: HashMap<&str, String> = bodies.collect();
     for run in site.replicas.runs() {
         ensure!(
             run.team == "mill" && !run.has_api_key,
             "expected team \"mill\" and no API key: {run:?}"
         );
         ensure!(
-            run.body == CRASHES_FIRST || run.body == format!("body of {}", run.request_id),
+            match bodies.get(&run.request_id[..]) {
+                Some(body) => run.body == *body,
+                None => run.body == format!("body of {}", run.request_id),
+            },
             "expected the body of the request: {run:?}"
         );
         if !run.chain.is_empty() {
@@ -146,12 +250,15 @@
         }
     }
     for record in records {
-        check_request(site, record, &mut report).wrap_err_with(|| format!("{record:?}"))?;
+        check_request(site, record, faults, &mut report)
+            .wrap_err_with(|| format!("{:.2000}", format!("{record:?}")))?;
     }
-    // A request that crashes replicas is not owed an answer.
-    let owed = records
-        .iter()
-        .filter(|record| !is_crashing(&record.request));
+    // A request that crashes replicas, or that the configuration does not allow, is not owed an answer.
+    let owed = records.iter().filter(|record| {
+        let response = record.response.as_ref();
+        let is_allowed = response.is_none_or(|(response, _)| !is_denial(response.status));
+        !is_crashing(&record.request) && !is_improper(&record.request) && is_allowed
+    });
     let served_share = report.served as f64 / owed.count().max(1) as f64;
     ensure!(
         served_share >= MIN_SERVED_SHARE,
@@ -165,6 +272,7 @@
 fn check_request(
     site: &TestSite,
     record: &RequestRecord,
+    faults: &FaultLog,
     report: &mut SoakReport,
 ) -> eyre::Result<()> {
     let RequestRecord {
@@ -181,15 +289,26 @@
         "ran {runs} times, expected at most {MAX_RUNS}"
     );
     let Some((response, complete_body)) = &record.response else {
+        let is_cut_off = record.is_connected && !record.progress.sent_whole;
+        report.cut_off += usize::from(is_cut_off);
         return Ok(());
     };
     let limit = Duration::from_millis(DEADLINE_MS + DEADLINE_SLACK_MS);
+    let ended_at = record.started_at + *elapsed;
+    let number = gateway_number(site, record);
+    let halted = faults.halted_time(number, record.started_at, ended_at);
+    // A gateway cannot answer while it is suspended.
+    let ran_for = elapsed.saturating_sub(halted.unwrap_or_default());
     ensure!(
-        *elapsed <= limit,
-        "took {elapsed:?}, expected at most {limit:?}"
+        ran_for <= limit,
+        "took {elapsed:?}, {ran_for:?} of them while the gateway ran, expected at most {limit:?}"
     );
     match response.status {
         200 => {
+            ensure!(
+                !is_improper(request),
+                "served without a route or with an unknown key"
+            );
             ensure!(runs > 0, "status 200, but no replica ran the request");
             ensure!(
                 response
@@ -216,7 +335,7 @@
                 return Ok(());
             }
             let complete = match request.event_count {
-                0 => response.body == format!("body of {}", request.id),
+                0 => response.body == request.body_text(),
                 event_count => ids.len() as u64 == event_count,
             };
             ensure!(complete, "body ended without error, but is incomplete");
@@ -230,12 +349,50 @@
             );
             report.refused += 1;
         }
+        status if is_denial(status) => {
+            ensure!(runs == 0, "denied with {status}, but ran {runs} times");
+            ensure!(
+                may_deny(record, faults, status),
+                "denied with {status} though the configuration allows it"
+            );
+        }
         500 | 502 | 504 => {}
         status => eyre::bail!("unexpected status {status}"),
     }
     Ok(())
 }
 
+/// Whether a status says that the configuration does not allow the request.
+fn is_denial(status: u16) -> bool {
+    matches!(status, 401 | 403 | 404 | 413)
+}
+
+/// Whether no configuration allows the request.
+fn is_improper(request: &SiteRequest) -> bool {
+    request.path == ABSENT_PATH || request.api_key == UNKNOWN_API_KEY
+}
+
+/// Whether a configuration that may have been in force denies the request with this status.
+fn may_deny(record: &RequestRecord, faults: &FaultLog, status: u16) -> bool {
+    let request = &record.request;
+    let (is_concerned, fault) = match status {
+        401 | 403 => (request.api_key == SECOND_API_KEY, SoakFault::KeyAbsent),
+        404 => (request.path == "/lookup/x", SoakFault::RouteAbsent),
+        _ => (
+            request.body_text().len() > LOWERED_BODY_BYTES,
+            SoakFault::LimitsLowered,
+        ),
+    };
+    let ended_at = record.started_at + record.elapsed;
+    let in_force = faults.may_be_in_force(fault, record.started_at, ended_at);
+    let is_improper = match status {
+        401 | 403 => request.api_key == UNKNOWN_API_KEY,
+        404 => request.path == ABSENT_PATH,
+        _ => false,
+    };
+    is_improper || (is_concerned && in_force)
+}
+
 /// Whether a chain in the form `IP:PORT=FROM-TO,...` covers every layer once and in order.
 fn covers_layers(chain: &str) -> bool {
     let mut next = 0;
--- a/standins/src/soak_fault.rs
+++ b/standins/src/soak_fault.rs
@@ -1,31 +1,33 @@
 //! The faults of a soak: drawn from its seed, injected and removed.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use eyre::ensure;
 use lynxcart::platform::{GATEWAY_PREFIX, NOTICE_PREFIX, REGISTRY_PREFIX};
-use rand::{Rng, SeedableRng};
+use rand::Rng;
 use rand_pcg::Pcg64Mcg;
+use serde_json::{json, Value};
 
 use crate::replica::ReplicaFault;
-use crate::site::TestSite;
+use crate::site::{TestSite, API_KEY, SECOND_API_KEY};
 
-/// Maximum number of faults active at the same time.
-const MAX_FAULTS: usize = 3;
-/// Time that gateways have to tell each other, in milliseconds. The bound does not hold for it
-/// after a fault of a gateway or of the store either.
-pub(crate) const CONTACT_MS: u64 = 4_000;
 /// Time from the start of a replica until its entry is written, in milliseconds. It is longer than
-/// [`LEAVE_MS`].
+/// the time in which gateways have to leave alone a replica that leaves.
 const UNREGISTERED_MS: u64 = 2_500;
 /// Time after the start of a gateway until its signal handlers are installed, in milliseconds. An
 /// earlier SIGHUP would end the process.
 const SIGNAL_READY_MS: u64 = 500;
 
+/// Number of SIGHUPs in a row.
+const HANGUPS: usize = 3;
+/// Largest body while the configuration lowers the limits, in bytes.
+pub(crate) const LOWERED_BODY_BYTES: usize = 100_000;
+/// Time for which a connection may be idle meanwhile, in milliseconds.
+const LOWERED_IDLE_MS: u64 = 300;
+
 /// A fault that [`inject_fault`] injects and [`remove_fault`] removes. The number in a variant is
 /// the index of the replica or gateway concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum SoakFault {
+pub(crate) enum SoakFault {
     /// A model's replica is marked dead (see [`ReplicaState::dead`]) and returns with its state
     /// unchanged.
     ///
@@ -39,8 +41,11 @@
     GatewayKilled(usize),
     /// A gateway is stopped with SIGSTOP and continued with SIGCONT.
     GatewaySuspended(usize),
-    /// A gateway receives SIGHUP, which it must ignore.
+    /// A gateway receives SIGHUP several times, which it must ignore.
     GatewayHangup(usize),
+    /// A gateway receives SIGTERM and is restarted once it has exited. As many gateways as the second
+    /// number says follow it.
+    GatewayStopped(usize, usize),
     /// The store responds to every request with an error.
     StoreOutage,
     /// The same configuration is published under a newer version.
@@ -62,71 +67,34 @@
     OddEntries,
     /// A replica of the plain service refuses and asks to be left alone for 0.4 s.
     PlainResting(usize),
+    /// A model's replica is sound but silent.
+    ModelSilent(usize),
+    /// A replica of the plain service is sound but silent.
+    PlainSilent(usize),
+    /// The open connections to a model's replica go silent, and new ones work.
+    ModelConnectionsSilent(usize),
+    /// The open connections to a replica of the plain service go silent, and new ones work.
+    PlainConnectionsSilent(usize),
+    /// The configuration leaves out the route of lookups.
+    RouteAbsent,
+    /// The configuration leaves out the second API key.
+    KeyAbsent,
+    /// The configuration allows only short idle times and small bodies.
+    LimitsLowered,
 }
 
-/// Faults that were injected.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct FaultLog {
-    pub(crate) count: usize,
-    /// When faults of gateways and of the store began and ended.
-    disturbances: Vec<(Instant, Instant)>,
-}
-
-impl FaultLog {
-    /// Whether gateways and store were sound for [`CONTACT_MS`] before `at`.
-    pub(crate) fn in_contact(&self, at: Instant) -> bool {
-        let contact = Duration::from_millis(CONTACT_MS);
-        let mut disturbances = self.disturbances.iter();
-        disturbances.all(|(began, ended)| at < *began || at > *ended + contact)
-    }
-}
-
-/// Injects and removes faults until `end`, then removes the rest.
-pub(crate) async fn inject_faults(
-    site: &mut TestSite,
-    end: Instant,
-    seed: u64,
-) -> eyre::Result<FaultLog> {
-    let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let mut active: Vec<(Instant, SoakFault)> = Vec::new();
-    let mut log = FaultLog::default();
-    while Instant::now() < end {
-        let now = Instant::now();
-        let (expired, remaining) = active
-            .into_iter()
-            .partition(|(fault_end, _)| now >= *fault_end);
-        active = remaining;
-        for (_, fault) in expired {
-            remove_fault(site, fault)?;
-        }
-        let fault = draw_fault(&mut rng, site);
-        check_gateways_running(site, &active)?;
-        let blocked =
-            active.iter().any(|(_, other)| same_target(*other, fault)) || is_too_early(site, fault);
-        if active.len() < MAX_FAULTS && !blocked {
-            inject_fault(site, fault)?;
-            let length_ms = match fault {
-                SoakFault::PlainLeaving(_) | SoakFault::PlainReborn(_) => {
-                    rng.random_range(2_000..8_000)
-                }
-                _ => rng.random_range(150..2_500),
-            };
-            let length = Duration::from_millis(length_ms);
-            active.push((now + length, fault));
-            log.count += 1;
-            if disturbs_gateways(fault) {
-                log.disturbances.push((now, now + length));
-            }
+/// Whether a fault would send a signal to a gateway before [`SIGNAL_READY_MS`] have passed since its
+/// start.
+pub(crate) fn is_too_early(site: &TestSite, fault: SoakFault) -> bool {
+    match fault {
+        SoakFault::GatewayHangup(number) | SoakFault::GatewayStopped(number, _) => {
+            site.gateways[number].started_at.elapsed() < Duration::from_millis(SIGNAL_READY_MS)
         }
-        tokio::time::sleep(Duration::from_millis(rng.random_range(50..400))).await;
-    }
-    for (_, fault) in active {
-        remove_fault(site, fault)?;
+        _ => false,
     }
-    Ok(log)
 }
 
-fn disturbs_gateways(fault: SoakFault) -> bool {
+pub(crate) fn disturbs_gateways(fault: SoakFault) -> bool {
     use SoakFault as Fault;
     matches!(
         fault,
@@ -135,49 +103,26 @@
             | Fault::StoreOutage
             | Fault::StoreRestored
             | Fault::StoreSilent
+            | Fault::GatewayStopped(..)
+            | Fault::ModelConnectionsSilent(_)
+            | Fault::PlainConnectionsSilent(_)
     )
 }
 
-/// Checks that no gateway has exited except those that a fault has killed.
-fn check_gateways_running(
-    site: &mut TestSite,
-    active: &[(Instant, SoakFault)],
-) -> eyre::Result<()> {
-    for number in 0..site.gateways.len() {
-        let killed = active
-            .iter()
-            .any(|(_, fault)| *fault == SoakFault::GatewayKilled(number));
-        let exited = site.gateways[number].process.has_exited()?;
-        ensure!(
-            killed || !exited,
-            "gateway {number} exited without being killed"
-        );
-    }
-    Ok(())
-}
-
-/// Whether a fault would send SIGHUP to a gateway before [`SIGNAL_READY_MS`] have passed since its
-/// start.
-fn is_too_early(site: &TestSite, fault: SoakFault) -> bool {
-    match fault {
-        SoakFault::GatewayHangup(number) => {
-            site.gateways[number].started_at.elapsed() < Duration::from_millis(SIGNAL_READY_MS)
-        }
-        _ => false,
-    }
-}
-
 /// Draws a fault; all kinds are equally likely.
-fn draw_fault(rng: &mut Pcg64Mcg, site: &TestSite) -> SoakFault {
+pub(crate) fn draw_fault(rng: &mut Pcg64Mcg, site: &TestSite) -> SoakFault {
     let model = rng.random_range(0..site.model_addresses.len());
     let gateway = rng.random_range(0..site.gateways.len());
     let plain_faults = [
         ReplicaFault::LosesResponse,
         ReplicaFault::Refuses,
         ReplicaFault::WrongRequestId,
+        ReplicaFault::EndlessBody,
+        ReplicaFault::CutsHead,
+        ReplicaFault::CutsBody,
     ];
     let plain = rng.random_range(0..site.plain_addresses.len());
-    match rng.random_range(0..15) {
+    match rng.random_range(0..24) {
         0 => SoakFault::ReplicaLost(model),
         1 => SoakFault::ReplicaRestarted(model),
         2 => SoakFault::PlainReplica(plain, plain_faults[rng.random_range(0..plain_faults.len())]),
@@ -192,12 +137,21 @@
         11 => SoakFault::ModelErrors(model),
         12 => SoakFault::OddEntries,
         13 => SoakFault::StoreSilent,
+        14 => SoakFault::ModelSilent(model),
+        15 => SoakFault::PlainSilent(plain),
+        16 => SoakFault::ModelConnectionsSilent(model),
+        17 => SoakFault::PlainConnectionsSilent(plain),
+        18 => SoakFault::RouteAbsent,
+        19 => SoakFault::KeyAbsent,
+        20 => SoakFault::LimitsLowered,
+        21 => SoakFault::GatewayStopped(gateway, 0),
+        22 => SoakFault::GatewayStopped(gateway, site.gateways.len() - 1),
         _ => SoakFault::ConfigChange,
     }
 }
 
 /// Whether two faults affect the same target, so that the removal of one would remove the other.
-fn same_target(one: SoakFault, other: SoakFault) -> bool {
+pub(crate) fn same_target(one: SoakFault, other: SoakFault) -> bool {
     use SoakFault as Fault;
     match (one, other) {
         (
@@ -215,15 +169,27 @@
             | Fault::PlainResting(b),
         )
         | (
-            Fault::GatewayKilled(a) | Fault::GatewaySuspended(a) | Fault::GatewayHangup(a),
-            Fault::GatewayKilled(b) | Fault::GatewaySuspended(b) | Fault::GatewayHangup(b),
-        ) => a == b,
+            Fault::GatewayKilled(a)
+            | Fault::GatewaySuspended(a)
+            | Fault::GatewayHangup(a)
+            | Fault::GatewayStopped(a, _),
+            Fault::GatewayKilled(b)
+            | Fault::GatewaySuspended(b)
+            | Fault::GatewayHangup(b)
+            | Fault::GatewayStopped(b, _),
+        ) => {
+            a == b
+                || matches!(
+                    (one, other),
+                    (Fault::GatewayStopped(..), Fault::GatewayStopped(..))
+                )
+        }
         _ => one == other,
     }
 }
 
 /// Injects a fault.
-fn inject_fault(site: &mut TestSite, fault: SoakFault) -> eyre::Result<()> {
+pub(crate) fn inject_fault(site: &mut TestSite, fault: SoakFault) -> eyre::Result<()> {
     match fault {
         SoakFault::ReplicaLost(number) | SoakFault::ReplicaRestarted(number) => {
             let address = site.model_addresses[number];
@@ -236,7 +202,33 @@
         }
         SoakFault::GatewayKilled(number) => site.gateways[number].process.kill()?,
         SoakFault::GatewaySuspended(number) => site.gateways[number].process.signal("STOP")?,
-        SoakFault::GatewayHangup(number) => site.gateways[number].process.signal("HUP")?,
+        SoakFault::GatewayHangup(number) => {
+            for _ in 0..HANGUPS {
+                site.gateways[number].process.signal("HUP")?;
+            }
+        }
+        SoakFault::GatewayStopped(number, _) => site.gateways[number].process.signal("TERM")?,
+        SoakFault::ModelSilent(number) => {
+            let address = site.model_addresses[number];
+            site.replicas.change(address, |state| state.silent = true);
+        }
+        SoakFault::PlainSilent(number) => {
+            let address = site.plain_addresses[number];
+            site.replicas.change(address, |state| state.silent = true);
+        }
+        SoakFault::ModelConnectionsSilent(number) => {
+            let state = site.replicas.state(site.model_addresses[number]);
+            state.silences.silence_open_connections();
+        }
+        SoakFault::PlainConnectionsSilent(number) => {
+            let state = site.replicas.state(site.plain_addresses[number]);
+            state.silences.silence_open_connections();
+        }
+        SoakFault::RouteAbsent => site.set_absent_route(Some("/lookup/")),
+        SoakFault::KeyAbsent => site.set_api_keys(&[API_KEY]),
+        SoakFault::LimitsLowered => site.set_limits(json!({
+            "max_body_bytes": LOWERED_BODY_BYTES, "idle_timeout_ms": LOWERED_IDLE_MS,
+        })),
         SoakFault::StoreOutage => site.store.set_outage(true),
         SoakFault::StoreSilent => site.store_network.silence_open_connections(),
         SoakFault::ConfigChange => site.publish_config(),
@@ -277,8 +269,9 @@
     Ok(())
 }
 
-/// Removes a fault. After a SIGHUP, a configuration change or a silence there is nothing to remove.
-fn remove_fault(site: &mut TestSite, fault: SoakFault) -> eyre::Result<()> {
+/// Removes a fault. After signals, a change of the version or connections that went silent there is
+/// nothing to remove.
+pub(crate) fn remove_fault(site: &mut TestSite, fault: SoakFault) -> eyre::Result<()> {
     match fault {
         SoakFault::ReplicaLost(number) => {
             let address = site.model_addresses[number];
@@ -330,7 +323,23 @@
             let address = site.plain_addresses[number];
             site.replicas.change(address, |state| state.rest = "");
         }
-        SoakFault::GatewayHangup(_) | SoakFault::ConfigChange | SoakFault::StoreSilent => {}
+        SoakFault::ModelSilent(number) => {
+            let address = site.model_addresses[number];
+            site.replicas.change(address, |state| state.silent = false);
+        }
+        SoakFault::PlainSilent(number) => {
+            let address = site.plain_addresses[number];
+            site.replicas.change(address, |state| state.silent = false);
+        }
+        SoakFault::RouteAbsent => site.set_absent_route(None),
+        SoakFault::KeyAbsent => site.set_api_keys(&[API_KEY, SECOND_API_KEY]),
+        SoakFault::LimitsLowered => site.set_limits(Value::Null),
+        SoakFault::GatewayHangup(_)
+        | SoakFault::GatewayStopped(..)
+        | SoakFault::ConfigChange
+        | SoakFault::StoreSilent
+        | SoakFault::ModelConnectionsSilent(_)
+        | SoakFault::PlainConnectionsSilent(_) => {}
     }
     Ok(())
 }
