Let half of the soak's callers read late, and count cut-off sends as lost

The soak did not show that a refusal is lost when its connection is closed with the body unread: its callers read while they send, and mostly had the refusal before the reset. Half of them now read a response only once its request is sent whole, as simple clients do. A request whose connection ends before it is sent whole, without an answer, is now lost as well: its caller has neither an answer nor a refusal.

--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -41,8 +41,6 @@
     pub served: usize,
     /// Number of requests refused with a status that guarantees that they did not run.
     pub refused: usize,
-    /// Number of requests that were not sent whole before their connection ended without an answer.
-    pub cut_off: usize,
     /// Number of faults injected.
     pub faults: usize,
 }
@@ -51,8 +49,8 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(
             f,
-            "calls={} served={} refused={} cut_off={} faults={}",
-            self.requests, self.served, self.refused, self.cut_off, self.faults
+            "calls={} served={} refused={} faults={}",
+            self.requests, self.served, self.refused, self.faults
         )
     }
 }
--- a/standins/src/soak_caller.rs
+++ b/standins/src/soak_caller.rs
@@ -146,8 +146,9 @@
     request
 }
 
-/// Sends random requests to random gateways, one at a time, until `end`. Every other caller keeps
-/// its connection for as long as the gateway does.
+/// Sends random requests to random gateways, one at a time, until `end`. Half of the callers keep
+/// their connection for as long as the gateway does, and half read a response only once its request
+/// is sent whole.
 pub(crate) async fn run_caller(
     caller: usize,
     balancer: Arc<SoakBalancer>,
@@ -157,6 +158,7 @@
 ) -> Vec<RequestRecord> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let keeps_connection = caller % 2 == 1;
+    let reads_late = caller % 4 >= 2;
     let mut kept = None;
     let mut records = Vec::new();
     for count in 0_u32.. {
@@ -174,10 +176,10 @@
             pause: Duration::from_millis(pause_ms),
         };
         let gateway = balancer.pick(&mut rng);
-        let record = send_request(&mut kept, gateway, request, sending, disconnects_early).await;
-        if !keeps_connection {
-            kept = None;
-        }
+        let connection = reuse_or_connect(kept.take(), gateway, reads_late).await;
+        let (record, connection) =
+            send_request(connection, gateway, request, sending, disconnects_early).await;
+        kept = connection.filter(|_| keeps_connection);
         let mut pause = Duration::from_millis(rng.random_range(5..40));
         if keeps_connection && rng.random_bool(0.1) {
             pause = Duration::from_millis(rng.random_range(100..700));
@@ -193,6 +195,7 @@
 async fn reuse_or_connect(
     kept: Option<CallerConnection>,
     gateway: SocketAddr,
+    reads_late: bool,
 ) -> Option<CallerConnection> {
     let limit = Duration::from_millis(CONNECT_LIMIT_MS);
     if let Some(mut connection) = kept {
@@ -200,18 +203,18 @@
             return Some(connection);
         }
     }
-    let opened = tokio::time::timeout(limit, CallerConnection::open(gateway)).await;
+    let opened = tokio::time::timeout(limit, CallerConnection::open(gateway, reads_late)).await;
     opened.ok()?.ok()
 }
 
-/// Sends a request on the connection that was kept or on a new one to the gateway, and keeps that.
+/// Sends a request to a gateway, if a connection to it could be opened.
 async fn send_request(
-    kept: &mut Option<CallerConnection>,
+    mut connection: Option<CallerConnection>,
     gateway: SocketAddr,
     request: SiteRequest,
     sending: BodySending,
     disconnects_early: bool,
-) -> RequestRecord {
+) -> (RequestRecord, Option<CallerConnection>) {
     let mut record = RequestRecord {
         request,
         gateway,
@@ -223,7 +226,7 @@
         progress: ExchangeProgress::default(),
         response: None,
     };
-    if let Some(mut connection) = reuse_or_connect(kept.take(), gateway).await {
+    if let Some(connection) = &mut connection {
         record.gateway = connection.gateway;
         record.is_connected = true;
         record.on_kept = connection.requests > 0;
@@ -241,8 +244,7 @@
         };
         record.response = tokio::time::timeout(limit, exchange).await.ok().flatten();
         record.progress = connection.progress();
-        *kept = Some(connection);
     }
     record.elapsed = record.started_at.elapsed();
-    record
+    (record, connection)
 }
--- a/standins/src/soak_check.rs
+++ b/standins/src/soak_check.rs
@@ -129,8 +129,9 @@
     Ok(())
 }
 
-/// Checks that each request that a running gateway took whole ended with an answer or a refusal, or a
-/// stream with a body that broke off.
+/// Checks that each request on a connection to a running gateway ended with an answer or a refusal, or
+/// a stream with a body that broke off. A gateway that refuses a request early reads on, so that its
+/// caller gets the refusal.
 pub(crate) fn check_lost(
     site: &TestSite,
     records: &[RequestRecord],
@@ -159,7 +160,7 @@
     let now_s = now.map_or(0.0, |now| now.as_secs_f64());
     let status = response.as_ref().map_or(0, |(response, _)| response.status);
     format!(
-        "id={} unix_s={:.3} gateway={} path={} body_bytes={} elapsed_ms={} runs={} on_kept={} status={status}",
+        "id={} unix_s={:.3} gateway={} path={} body_bytes={} elapsed_ms={} runs={} on_kept={} sent_whole={} status={status}",
         request.id,
         now_s - age_s,
         gateway_number(site, record),
@@ -168,6 +169,7 @@
         record.elapsed.as_millis(),
         site.run_count(&request.id),
         record.on_kept,
+        record.progress.sent_whole,
     )
 }
 
@@ -181,7 +183,7 @@
     let ended_at = record.started_at + record.elapsed;
     let number = gateway_number(site, record);
     let halted = faults.halted_time(number, record.started_at, ended_at);
-    if !record.progress.sent_whole || halted.is_some() {
+    if !record.is_connected || halted.is_some() {
         return false;
     }
     let is_quick = record.elapsed <= Duration::from_millis(LOSS_SLACK_MS);
@@ -289,8 +291,6 @@
         "ran {runs} times, expected at most {MAX_RUNS}"
     );
     let Some((response, complete_body)) = &record.response else {
-        let is_cut_off = record.is_connected && !record.progress.sent_whole;
-        report.cut_off += usize::from(is_cut_off);
         return Ok(());
     };
     let limit = Duration::from_millis(DEADLINE_MS + DEADLINE_SLACK_MS);
--- a/standins/src/soak_connection.rs
+++ b/standins/src/soak_connection.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -36,6 +36,7 @@
 /// What was sent and received of the latest request on a connection.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ExchangeProgress {
+    is_begun: bool,
     body_taken: bool,
     /// Whether the socket has taken the whole request.
     pub(crate) sent_whole: bool,
@@ -63,13 +64,19 @@
 }
 
 impl CallerConnection {
-    pub(crate) async fn open(gateway: SocketAddr) -> eyre::Result<CallerConnection> {
+    /// Opens a connection. With `reads_late`, a response is read only once its request is sent whole.
+    pub(crate) async fn open(
+        gateway: SocketAddr,
+        reads_late: bool,
+    ) -> eyre::Result<CallerConnection> {
         let socket = TcpStream::connect(gateway).await?;
         socket.set_nodelay(true)?;
         let progress = SharedProgress::default();
         let recorded = RecordedSocket {
             socket,
             progress: progress.clone(),
+            reads_late,
+            reader: None,
         };
         let (sender, connection) = http1::handshake(TokioIo::new(recorded)).await?;
         // An error of the connection is also that of its request.
@@ -98,7 +105,10 @@
         sending: BodySending,
     ) -> eyre::Result<Response<Incoming>> {
         self.requests += 1;
-        *self.progress.lock() = ExchangeProgress::default();
+        *self.progress.lock() = ExchangeProgress {
+            is_begun: true,
+            ..ExchangeProgress::default()
+        };
         let body = Bytes::from(request.body_text());
         let starts = (0..body.len()).step_by(PART_BYTES);
         let parts = starts.map(|start| body.slice(start..body.len().min(start + PART_BYTES)));
@@ -152,6 +162,9 @@
 struct RecordedSocket {
     socket: TcpStream,
     progress: SharedProgress,
+    reads_late: bool,
+    /// Wakes the reader that waits for the request to be sent.
+    reader: Option<Waker>,
 }
 
 impl AsyncRead for RecordedSocket {
@@ -160,6 +173,11 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let progress = *self.progress.lock();
+        if self.reads_late && progress.is_begun && !progress.sent_whole {
+            self.reader = Some(context.waker().clone());
+            return Poll::Pending;
+        }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.socket).poll_read(context, buffer))?;
         self.progress.lock().received += buffer.filled().len() - before;
@@ -179,8 +197,14 @@
     /// Is called once all that was taken of the body is written.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.socket).poll_flush(context))?;
-        let mut progress = self.progress.lock();
-        progress.sent_whole = progress.body_taken;
+        let is_whole = {
+            let mut progress = self.progress.lock();
+            progress.sent_whole = progress.body_taken;
+            progress.sent_whole
+        };
+        if is_whole {
+            self.reader.take().into_iter().for_each(Waker::wake);
+        }
         Poll::Ready(Ok(()))
     }
 
