--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -22,9 +22,12 @@
 use crate::gateway::crash_ledger::CrashSeries;
 use crate::gateway::part_ledger::{PartVerdict, PromptPart, SuspectRun};
 use crate::gateway::permit::acquire_permit;
+use crate::gateway::refused_body::RefusedBody;
 use crate::gateway::relay;
 use crate::gateway::reserved_target::ReservedTarget;
-use crate::gateway::response::{collect_response, record_response, refuse, GatewayBody};
+use crate::gateway::response::{
+    collect_response, end_request, record_response, refuse, GatewayBody,
+};
 use crate::gateway::run::Gateway;
 use crate::gateway::state::{AdmittedRequest, GatewayState, RequestHead, RoomClaim, SendTarget};
 use crate::gateway::upstream::UpstreamKey;
@@ -36,7 +39,7 @@
 
 /// `Retry-After` of a request refused during shutdown, milliseconds. It is short because the other
 /// VMs keep serving.
-const SHUTDOWN_RETRY_AFTER_MS: u64 = 50;
+pub const SHUTDOWN_RETRY_AFTER_MS: u64 = 50;
 /// `Retry-After` of a request that did not run in any of its attempts, milliseconds, unless all
 /// replicas ask to be left alone for longer.
 const FAILED_RETRY_AFTER_MS: u64 = 300;
@@ -147,31 +150,24 @@
     caller: CallerRequest,
 ) -> Response<GatewayBody> {
     let received_at = gateway.clock.now();
-    let (parts, body) = request.into_parts();
+    let (parts, mut rest) = request.into_parts();
     let meta = request_meta(&parts.headers);
-    if gateway.rejects_new_requests() {
-        let refusal = RequestRefusal::not_run(RefusalReason::Draining, "this VM is stopping");
-        return refuse(
-            gateway,
-            &meta.id,
-            received_at,
-            &refusal.retry_after(SHUTDOWN_RETRY_AFTER_MS),
-        );
-    }
-    // The limit is that of the configuration in force, also on connections that are older.
-    if head_bytes(&parts) > gateway.state().routes.config().limits.header_bytes {
-        let detail = "the request line and headers are larger than the limit";
-        let refusal = RequestRefusal::not_run(RefusalReason::HeadersTooLarge, detail);
-        return refuse(gateway, &meta.id, received_at, &refusal);
-    }
-    let admitted = match admit(gateway, received_at, &parts, &meta) {
-        Ok(admitted) => admitted,
-        Err(refusal) => return refuse(gateway, &meta.id, received_at, &refusal),
+    let read = tokio::select! {
+        biased;
+        read = read_request(gateway, received_at, &parts, &meta, &mut rest, &caller) => {
+            read.map_err(|refusal| refuse(gateway, &meta.id, received_at, &refusal))
+        }
+        () = gateway.wait_for_ending() => {
+            Err(end_request(gateway, &meta.id, received_at, RunVerdict::NotRun, None))
+        }
     };
-    let in_flight = InFlightGuard::begin(gateway);
-    let body = match read_body(gateway, &admitted, body, &caller).await {
-        Ok(body) => body,
-        Err(refusal) => return refuse(gateway, &meta.id, received_at, &refusal),
+    let (admitted, in_flight, body) = match read {
+        Ok(request) => request,
+        Err(mut response) => {
+            let refused = RefusedBody { rest, caller };
+            refused.discard(gateway, &parts, &meta.id, &mut response);
+            return response;
+        }
     };
     let fingerprint = fingerprint(&admitted, &parts, &body);
     let shared_parts = meta.shared_parts.iter();
@@ -192,7 +188,46 @@
         caller,
         _in_flight: in_flight,
     };
-    serve(gateway, context).await
+    let id = context.meta.id.clone();
+    let admitted = &context.admitted;
+    let mut ledger =
+        AttemptLedger::new(admitted.retryable, admitted.max_attempts, admitted.deadline);
+    let mut fallback = None;
+    tokio::select! {
+        biased;
+        response = serve(gateway, context, &mut ledger, &mut fallback) => return response,
+        () = gateway.wait_for_ending() => {}
+    }
+    end_request(gateway, &id, received_at, ledger.verdict(), fallback)
+}
+
+/// Admits a request and reads its body.
+///
+/// # Errors
+///
+/// The refusal, after which the rest of the body has not been read.
+async fn read_request(
+    gateway: &Arc<Gateway>,
+    received_at: ClockTime,
+    parts: &Parts,
+    meta: &RequestMeta,
+    body: &mut Incoming,
+    caller: &CallerRequest,
+) -> Result<(AdmittedRequest, InFlightGuard, Bytes), RequestRefusal> {
+    if gateway.rejects_new_requests() {
+        let refusal = RequestRefusal::not_run(RefusalReason::Draining, "this VM is stopping");
+        return Err(refusal.retry_after(SHUTDOWN_RETRY_AFTER_MS));
+    }
+    // The limit is that of the configuration in force, also on connections that are older.
+    if head_bytes(parts) > gateway.state().routes.config().limits.header_bytes {
+        let detail = "the request line and headers are larger than the limit";
+        let refusal = RequestRefusal::not_run(RefusalReason::HeadersTooLarge, detail);
+        return Err(refusal);
+    }
+    let admitted = admit(gateway, received_at, parts, meta)?;
+    let in_flight = InFlightGuard::begin(gateway);
+    let body = read_body(gateway, &admitted, body, caller).await?;
+    Ok((admitted, in_flight, body))
 }
 
 /// Size of a request's head, bytes, as a caller writes it.
@@ -216,7 +251,7 @@
 async fn read_body(
     gateway: &Gateway,
     admitted: &AdmittedRequest,
-    body: Incoming,
+    body: &mut Incoming,
     caller: &CallerRequest,
 ) -> Result<Bytes, RequestRefusal> {
     let max_bytes = gateway.state().routes.config().limits.body_bytes;
@@ -240,7 +275,7 @@
 }
 
 async fn collect_body(
-    mut body: Incoming,
+    body: &mut Incoming,
     caller: &CallerRequest,
     max_bytes: usize,
 ) -> Result<Bytes, RequestRefusal> {
@@ -308,25 +343,28 @@
     Ok(admitted)
 }
 
-async fn serve(gateway: &Arc<Gateway>, context: RequestContext) -> Response<GatewayBody> {
+/// Serves a request. The error answer of an upstream that is returned if no later attempt succeeds
+/// is held in `fallback`.
+async fn serve(
+    gateway: &Arc<Gateway>,
+    context: RequestContext,
+    ledger: &mut AttemptLedger,
+    fallback: &mut Option<Response<GatewayBody>>,
+) -> Response<GatewayBody> {
     let admitted = &context.admitted;
-    let mut ledger =
-        AttemptLedger::new(admitted.retryable, admitted.max_attempts, admitted.deadline);
     let mut avoid = Vec::new();
-    let mut fallback: Option<Response<GatewayBody>> = None;
     loop {
-        let opened = match start_attempt(gateway, &context, &mut ledger, &avoid, None).await {
+        let opened = match start_attempt(gateway, &context, ledger, &avoid, None).await {
             Ok(opened) => opened,
             Err(AttemptError::Refused(refusal)) => {
-                return fallback.unwrap_or_else(|| {
+                return fallback.take().unwrap_or_else(|| {
                     refuse(gateway, &context.meta.id, context.received_at, &refusal)
                 });
             }
             Err(AttemptError::Failed(failed)) => {
                 avoid.push(failed.key);
-                if let Some(final_response) = handle_failure(gateway, &context, &mut ledger, failed)
-                {
-                    return fallback.unwrap_or(final_response);
+                if let Some(final_response) = handle_failure(gateway, &context, ledger, failed) {
+                    return fallback.take().unwrap_or(final_response);
                 }
                 continue;
             }
@@ -341,29 +379,26 @@
         let success = opened.response.status().is_success();
         if success && admitted.kind == WorkKind::Streaming {
             let (id, received_at) = (context.meta.id.clone(), context.received_at);
-            let response = relay::stream(gateway, context, ledger, opened).await;
+            let response = relay::stream(gateway, context, *ledger, opened).await;
             return response.unwrap_or_else(|refusal| {
+                let fallback = fallback.take();
                 fallback.unwrap_or_else(|| refuse(gateway, &id, received_at, &refusal))
             });
         }
         let key = opened.attempt.target.upstream;
         let failure = match collect_response(gateway, &context, opened).await {
             Some(response) if success => return record_response(gateway, &context, key, response),
-            // The upstream's error response is returned if no later attempt succeeds.
             Some(response) => {
-                fallback = Some(record_response(gateway, &context, key, response));
+                *fallback = Some(record_response(gateway, &context, key, response));
                 AttemptFailure::Failed
             }
             None => AttemptFailure::Lost,
         };
         avoid.push(key);
-        if let Some(final_response) = handle_failure(
-            gateway,
-            &context,
-            &mut ledger,
-            FailedAttempt { failure, key },
-        ) {
-            return fallback.unwrap_or(final_response);
+        if let Some(final_response) =
+            handle_failure(gateway, &context, ledger, FailedAttempt { failure, key })
+        {
+            return fallback.take().unwrap_or(final_response);
         }
     }
 }
@@ -409,7 +444,7 @@
         may_retry: ledger.may_retry(gateway.clock.now()),
         is_sent_again: avoid.contains(&target.upstream),
     };
-    send_request(gateway, context, target, options)
+    send_request(gateway, context, ledger, target, options)
         .await
         .map_err(AttemptError::Failed)
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,7 +1,7 @@
 //! The gateway: accepts callers' requests and sends them to upstreams directly, without an agent
 //! beside each.
 //!
-//! [`state`], [`placement`] and the modules that these two use make the decisions and do no I/O.
+//! [`state`], [`placement`], [`shutdown`] and the modules that these use make the decisions and do no I/O.
 //! [`listener`], [`forward`], [`upstream_attempt`], [`relay`], [`reroute`], [`response`], [`pool`],
 //! [`sync`], [`discovery`], [`doubt`], [`placement_runner`], [`peer_exchange`], [`permit`], [`task`] and [`run`]
 //! carry them out. The names and formats of the deployment's platform are confined to
@@ -13,6 +13,7 @@
 pub mod budget;
 pub mod caller_connection;
 pub mod caller_ledger;
+pub mod caller_record;
 pub mod caller_stream;
 pub mod catalog;
 pub mod chain;
@@ -40,6 +41,7 @@
 pub mod plan;
 pub mod pool;
 pub mod rate_limit;
+pub mod refused_body;
 pub mod relay;
 pub mod repair;
 pub mod reroute;
@@ -48,7 +50,9 @@
 pub mod response_buffer;
 pub mod return_schedule;
 pub mod run;
+pub mod shutdown;
 pub mod state;
+pub mod stream_step;
 pub mod sync;
 pub mod task;
 pub mod upstream;
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -30,10 +30,17 @@
     /// Number of callers' connections that were given up, or not accepted, for want of room, by what
     /// they were doing.
     pub caller_evictions: IntCounterVec,
+    /// Number of callers' connections that were closed after the times of the configuration, by what
+    /// they were doing.
+    pub caller_expiries: IntCounterVec,
+    /// Number of refused requests whose bodies were discarded after the refusal, by how that ended.
+    pub refused_bodies: IntCounterVec,
     /// Number of a gateway's requests that wait for free capacity at the upstreams.
     pub waiting_requests: IntGauge,
     /// Waits of requests that found free capacity only later or not at all, by priority and result.
     pub room_waits: IntCounterVec,
+    /// Number of a gateway's requests that outlasted its graceful shutdown, by what their callers got.
+    pub ended_by_stop: IntCounterVec,
     /// By how much a gateway is behind its own work, milliseconds.
     pub own_delay_ms: IntGauge,
     /// Number of messages sent to other processes.
@@ -106,6 +113,20 @@
             ),
             &["phase"],
         )?;
+        let caller_expiries = IntCounterVec::new(
+            Opts::new(
+                "lynxcart_caller_expiries_total",
+                "Callers' connections closed after the times of the configuration, by what they were doing.",
+            ),
+            &["phase"],
+        )?;
+        let refused_bodies = IntCounterVec::new(
+            Opts::new(
+                "lynxcart_refused_bodies_total",
+                "Bodies discarded after the refusal of their requests, by how that ended.",
+            ),
+            &["end"],
+        )?;
         let waiting_requests = IntGauge::new(
             "lynxcart_waiting_requests",
             "Requests that wait for free capacity.",
@@ -117,6 +138,13 @@
             ),
             &["priority", "result"],
         )?;
+        let ended_by_stop = IntCounterVec::new(
+            Opts::new(
+                "lynxcart_requests_ended_by_stop_total",
+                "Requests that outlasted a graceful shutdown, by what their callers got.",
+            ),
+            &["answer"],
+        )?;
         let own_delay_ms = IntGauge::new(
             "lynxcart_own_delay_milliseconds",
             "By how much the gateway is behind its own work.",
@@ -152,8 +180,11 @@
         registry.register(Box::new(caller_bytes.clone()))?;
         registry.register(Box::new(caller_connections.clone()))?;
         registry.register(Box::new(caller_evictions.clone()))?;
+        registry.register(Box::new(caller_expiries.clone()))?;
+        registry.register(Box::new(refused_bodies.clone()))?;
         registry.register(Box::new(waiting_requests.clone()))?;
         registry.register(Box::new(room_waits.clone()))?;
+        registry.register(Box::new(ended_by_stop.clone()))?;
         registry.register(Box::new(own_delay_ms.clone()))?;
         registry.register(Box::new(messages_sent.clone()))?;
         registry.register(Box::new(platform_requests.clone()))?;
@@ -169,8 +200,11 @@
             caller_bytes,
             caller_connections,
             caller_evictions,
+            caller_expiries,
+            refused_bodies,
             waiting_requests,
             room_waits,
+            ended_by_stop,
             own_delay_ms,
             messages_sent,
             platform_requests,
@@ -191,12 +225,38 @@
         self.permits.with_label_values(&[result]).inc();
     }
 
+    /// Counts a request that outlasted a graceful shutdown: `not_run`, `may_have_run`,
+    /// `upstream_error` or `broken_off`.
+    pub fn count_ended_by_stop(&self, answer: &str) {
+        self.ended_by_stop.with_label_values(&[answer]).inc();
+    }
+
+    /// Returns the numbers of requests that outlasted a graceful shutdown, as `answer=number` pairs.
+    pub fn ended_by_stop_summary(&self) -> String {
+        let answers = ["not_run", "may_have_run", "upstream_error", "broken_off"];
+        let counts = answers.map(|answer| {
+            let count = self.ended_by_stop.with_label_values(&[answer]).get();
+            format!("{answer}={count}")
+        });
+        counts.join(" ")
+    }
+
     /// Counts a connection that was given up for want of room: `idle`, `head`, `body`, or
     /// `not_accepted`.
     pub fn count_caller_eviction(&self, phase: &str) {
         self.caller_evictions.with_label_values(&[phase]).inc();
     }
 
+    /// Counts a connection that was closed after the times of the configuration: `idle` or `head`.
+    pub fn count_caller_expiry(&self, phase: &str) {
+        self.caller_expiries.with_label_values(&[phase]).inc();
+    }
+
+    /// Counts a body that was discarded after the refusal of its request, by how that ended.
+    pub fn count_refused_body(&self, end: &str) {
+        self.refused_bodies.with_label_values(&[end]).inc();
+    }
+
     /// Returns the current values in the Prometheus text format.
     pub fn prometheus_text(&self) -> String {
         let mut buffer = Vec::new();
--- a/tests/gateway/caller_ledger.rs
+++ b/tests/gateway/caller_ledger.rs
@@ -1,9 +1,18 @@
 //! Tests of what a gateway holds for its callers, and who goes when there is no room.
 
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::time::Duration;
+
+use futures_util::FutureExt;
 use lynxcart::clock::ClockTime;
+use lynxcart::gateway::caller_connection::CallerTable;
 use lynxcart::gateway::caller_ledger::{
     CallerKey, CallerLedger, CallerPhase, CallerRoom, CallerTimeouts, Eviction, CONNECTION_BYTES,
 };
+use lynxcart::gateway::catalog::CallerLimits;
+use lynxcart::metric::MetricSet;
 use proptest::prelude::*;
 
 const KIB: usize = 1024;
@@ -123,6 +132,142 @@
     ledger.check_totals();
 }
 
+#[test]
+fn request_that_crosses_the_close_of_its_idle_connection_is_served() {
+    let timeouts = CallerTimeouts {
+        header_ms: 1_000,
+        idle_ms: 1_000,
+    };
+    let mut ledger = ledger(64 * KIB, 2);
+    let key = open(&mut ledger, 0);
+    assert_eq!(ledger.expire(ClockTime(1_000), timeouts).len(), 1);
+    ledger.begin_body(ClockTime(1_001), key);
+    assert_eq!(ledger.held_bytes(), CONNECTION_BYTES);
+    assert!(ledger.begin_service(ClockTime(1_001), key));
+    ledger.check_totals();
+    // Once others have taken its room, it is refused.
+    ledger.end_request(ClockTime(1_001), key);
+    assert_eq!(ledger.expire(ClockTime(3_000), timeouts).len(), 1);
+    open(&mut ledger, 3_000);
+    open(&mut ledger, 3_000);
+    ledger.begin_body(ClockTime(3_001), key);
+    assert!(!ledger.begin_service(ClockTime(3_001), key));
+    ledger.check_totals();
+}
+
+#[tokio::test]
+async fn connection_is_not_closed_under_a_request_that_was_read_beside_its_eviction() {
+    let metrics = MetricSet::new().expect("the metrics should register");
+    let room = CallerRoom {
+        bytes: 1_024 * KIB,
+        connections: 2,
+    };
+    let table = CallerTable::new(room, metrics);
+    // The socket is not used.
+    let connection = table.open(-1, CallerLimits::default());
+    let connection = connection.expect("there should be room");
+    table.expire(CallerTimeouts {
+        header_ms: 0,
+        idle_ms: 0,
+    });
+    assert!(connection.wait_for_eviction().now_or_never().is_some());
+    let request = connection.begin_request();
+    assert!(connection.wait_for_eviction().now_or_never().is_none());
+    assert!(request.wait_for_eviction().now_or_never().is_none());
+    assert!(request.begin_service());
+    // A request without room for its connection is refused.
+    drop(request);
+    table.expire(CallerTimeouts {
+        header_ms: 0,
+        idle_ms: 0,
+    });
+    let _others = [0, 1].map(|_| table.open(-1, CallerLimits::default()).expect("room"));
+    let request = connection.begin_request();
+    assert!(connection.wait_for_eviction().now_or_never().is_none());
+    assert!(request.wait_for_eviction().now_or_never().is_some());
+    assert!(!request.begin_service());
+}
+
+#[tokio::test]
+async fn idle_connection_is_not_closed_over_a_request_that_the_event_loop_has_not_read() {
+    let metrics = MetricSet::new().expect("the metrics should register");
+    let room = CallerRoom {
+        bytes: 1_024 * KIB,
+        connections: 2,
+    };
+    let table = CallerTable::new(room, metrics);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let mut caller = TcpStream::connect(address).expect("a connection");
+    let (stream, _) = listener.accept().expect("a connection");
+    let connection = table.open(stream.as_raw_fd(), CallerLimits::default());
+    let connection = connection.expect("there should be room");
+    caller.write_all(b"GET").expect("the bytes should be sent");
+    stream.peek(&mut [0]).expect("a byte should arrive");
+    table.expire(CallerTimeouts {
+        header_ms: 0,
+        idle_ms: 0,
+    });
+    assert!(connection.wait_for_eviction().now_or_never().is_none());
+    assert!(connection.record_read(3));
+    // It is taken back: the rest of the head may come.
+    let wait = tokio::time::timeout(Duration::from_millis(50), connection.wait_for_eviction());
+    assert!(wait.await.is_err());
+}
+
+#[test]
+fn refused_request_holds_no_bytes_while_its_body_is_discarded() {
+    let mut ledger = ledger(512 * KIB, 2);
+    let refused = upload(&mut ledger, 0, 300 * KIB);
+    assert!(ledger.begin_discard(refused));
+    assert_eq!(ledger.held_bytes(), CONNECTION_BYTES);
+    assert_eq!(ledger.discarding(), 1);
+    assert!(ledger.lingers(refused));
+    // It goes first when there are too many connections.
+    let other = open(&mut ledger, 0);
+    let (key, evictions) = ledger.open(ClockTime(1_500));
+    assert!(key.is_some());
+    assert_eq!(evictions[0].key, refused);
+    assert!(!ledger.lingers(refused));
+    ledger.check_totals();
+    ledger.close(refused);
+    ledger.close(other);
+    assert_eq!(ledger.discarding(), 0);
+    ledger.check_totals();
+}
+
+#[test]
+fn request_given_up_for_its_bytes_is_read_on_if_its_connection_has_room() {
+    let mut ledger = ledger(512 * KIB, 2);
+    let given_up = upload(&mut ledger, 0, 300 * KIB);
+    let other = open(&mut ledger, 1);
+    ledger.begin_body(ClockTime(1), other);
+    let decision = ledger.grow_body(other, 250 * KIB);
+    assert_eq!(decision.evictions[0].key, given_up);
+    assert!(ledger.begin_discard(given_up));
+    assert_eq!(ledger.held_bytes(), 2 * CONNECTION_BYTES + 250 * KIB);
+    ledger.check_totals();
+    // Once its body is complete, the connection serves the next request.
+    ledger.end_discard(given_up);
+    ledger.end_request(ClockTime(2), given_up);
+    assert!(!ledger.lingers(given_up));
+    ledger.begin_body(ClockTime(3), given_up);
+    assert!(ledger.begin_service(ClockTime(3), given_up));
+    ledger.check_totals();
+}
+
+#[test]
+fn request_given_up_for_another_connection_is_not_read_on() {
+    let mut ledger = ledger(10_000 * KIB, 1);
+    let given_up = upload(&mut ledger, 0, KIB);
+    let (key, evictions) = ledger.open(ClockTime(5_000));
+    assert!(key.is_some());
+    assert_eq!(evictions[0].key, given_up);
+    assert!(!ledger.begin_discard(given_up));
+    assert!(!ledger.lingers(given_up));
+    ledger.check_totals();
+}
+
 #[test]
 fn answers_come_before_requests_that_are_being_read() {
     let mut ledger = ledger(512 * KIB, 100);
@@ -248,7 +393,7 @@
 proptest! {
     #[test]
     fn totals_fit_and_the_bound_holds_in_random_runs(
-        steps in proptest::collection::vec((0_u8..8, 0_usize..12, 1_usize..60_000), 1..300),
+        steps in proptest::collection::vec((0_u8..9, 0_usize..12, 1_usize..60_000), 1..300),
     ) {
         const BOUND: usize = 400_000;
         const CONNECTIONS: usize = 8;
@@ -278,6 +423,12 @@
                         ledger.close(key);
                         keys.swap_remove(which % len);
                     }
+                    8 => {
+                        ledger.begin_body(now, key);
+                        ledger.grow_body(key, bytes);
+                        let is_counted = ledger.begin_discard(key);
+                        prop_assert_eq!(ledger.lingers(key), is_counted);
+                    }
                     _ => {}
                 }
             }
