Break off a stream without a run when its gateway stops

Callers saw a stream end as complete after some of its events (ORDER): the replica had broken off, the gateway was looking for another one, and a stop ended the search.

Cause: the end of a stop reads what has arrived of the run's body once more. That body had failed already, and a body that has failed reads as one that ended, so that the relay took the stream for complete and wrote its last chunk.

Now the relay knows that a run has ended until another takes its place, and reads no more of it, so that the stream is broken off.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -60,6 +60,8 @@
     early_steps: VecDeque<StreamStep>,
     avoid: Vec<UpstreamKey>,
     finished: bool,
+    /// Whether the run that `body` belongs to has ended and none has taken its place.
+    run_ended: bool,
     /// Whether what had arrived at the end of a graceful shutdown was passed on.
     is_ending: bool,
     /// Time since the last whole event, in steps of [`SILENCE_CHECK_MS`]. Bytes of an incomplete
@@ -104,6 +106,7 @@
         early_steps: VecDeque::new(),
         avoid: Vec::new(),
         finished: false,
+        run_ended: false,
         is_ending: false,
         silent_ms: 0,
         checked_at: gateway.clock.now(),
@@ -218,6 +221,7 @@
                 }
                 StreamStep::Invalid(reason) => reason,
             };
+            self.run_ended = true;
             if let Err(abort_reason) = self.resume(&reason, self.gateway.clock.now()).await {
                 return Some(self.abort(&abort_reason));
             }
@@ -373,6 +377,8 @@
         for _ in 0..MAX_EARLY_STEPS {
             let step = match self.early_steps.pop_front() {
                 Some(step) => Some(step),
+                // A body that has failed reads as complete.
+                None if self.run_ended => None,
                 None => self.read_arrived(),
             };
             match step {
@@ -485,6 +491,7 @@
                     }
                     self.body = opened.response.into_body();
                     self.splitter.restart();
+                    self.run_ended = false;
                     self.silent_ms = 0;
                     return Ok(());
                 }
