Read bodies of requests in a module of their own

Pure moves, and two comments that explained the time for heads by refused bodies: these are read on as bodies now, so that the reason that holds is stated.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -185,7 +185,8 @@
     /// Largest body of a request, bytes.
     pub body_bytes: usize,
     /// Time within which the head of a request must arrive, milliseconds. The gateway applies the
-    /// larger of this and `idle_timeout_ms`: the rest of a body that was refused unread looks like a head.
+    /// larger of this and `idle_timeout_ms`: a caller that has begun a head is not closed sooner than one
+    /// that is idle.
     pub header_timeout_ms: u64,
     /// Time for which a connection may be idle before the next request, milliseconds.
     pub idle_timeout_ms: u64,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -5,25 +5,24 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::HOST;
 use http::request::Parts;
 use http::{Request, Response};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 
 use crate::clock::ClockTime;
 use crate::fingerprint::RequestFingerprint;
 use crate::gateway::attempt_ledger::{AttemptFailure, AttemptLedger, NextStep};
-use crate::gateway::caller_connection::{BodyBuffer, BodyFault, CallerRequest};
+use crate::gateway::caller_connection::CallerRequest;
 use crate::gateway::catalog::WorkKind;
 use crate::gateway::crash_ledger::{CrashSeries, SharedSeries};
 use crate::gateway::part_ledger::{PartVerdict, PromptPart, SuspectRun};
 use crate::gateway::permit::acquire_permit;
 use crate::gateway::refused_body::RefusedBody;
 use crate::gateway::relay;
+use crate::gateway::request_body::{head_bytes, read_body};
 use crate::gateway::reserved_target::ReservedTarget;
 use crate::gateway::response::{
     collect_response, end_request, record_response, refuse, GatewayBody,
@@ -48,9 +47,6 @@
 const MAX_RESUME_WAIT_MS: u64 = 1_200;
 /// Number of permits denied to one request after which this gateway asks for none for a while.
 const MAX_DENIALS: u32 = 4;
-/// `Retry-After` of a request that is refused since there is no room for its body, milliseconds.
-/// Others that take the room are given up when more is needed.
-const NO_ROOM_RETRY_AFTER_MS: u64 = 500;
 
 /// A caller's request while it is being served.
 #[derive(Debug)]
@@ -236,82 +232,6 @@
     Ok((admitted, in_flight, body))
 }
 
-/// Size of a request's head, bytes, as a caller writes it.
-fn head_bytes(parts: &Parts) -> usize {
-    /// The spaces, the version and the line end of a request line, and the line end of the head.
-    const REQUEST_LINE_EXTRA: usize = " ".len() + " HTTP/1.1\r\n".len() + "\r\n".len();
-    const HEADER_EXTRA: usize = ": ".len() + "\r\n".len();
-    let headers = parts.headers.iter();
-    let header_bytes: usize = headers
-        .map(|(name, value)| name.as_str().len() + value.len() + HEADER_EXTRA)
-        .sum();
-    let target = parts.uri.path_and_query().map_or("", |path| path.as_str());
-    parts.method.as_str().len() + target.len() + REQUEST_LINE_EXTRA + header_bytes
-}
-
-/// Reads the body of an admitted request.
-///
-/// # Errors
-///
-/// The refusal, if the body is too large, broken off or late, or if there is no room for it.
-async fn read_body(
-    gateway: &Gateway,
-    admitted: &AdmittedRequest,
-    body: &mut Incoming,
-    caller: &CallerRequest,
-) -> Result<Bytes, RequestRefusal> {
-    let max_bytes = gateway.state().routes.config().limits.body_bytes;
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(body_refusal(BodyFault::TooLarge));
-    }
-    let remaining = Duration::from_millis(admitted.deadline.since(gateway.clock.now()));
-    let read = tokio::select! {
-        biased;
-        () = caller.wait_for_eviction() => return Err(body_refusal(BodyFault::NoRoom)),
-        read = tokio::time::timeout(remaining, collect_body(body, caller, max_bytes)) => read,
-    };
-    let body = read.unwrap_or_else(|_| {
-        let detail = "the body came too late";
-        Err(RequestRefusal::not_run(RefusalReason::Deadline, detail))
-    })?;
-    match caller.begin_service() {
-        true => Ok(body),
-        false => Err(body_refusal(BodyFault::NoRoom)),
-    }
-}
-
-async fn collect_body(
-    body: &mut Incoming,
-    caller: &CallerRequest,
-    max_bytes: usize,
-) -> Result<Bytes, RequestRefusal> {
-    let mut buffer = BodyBuffer::new(caller, max_bytes);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| {
-            let detail = format!("could not read the body: {error}");
-            RequestRefusal::not_run(RefusalReason::BadRequest, detail)
-        })?;
-        if let Some(data) = frame.data_ref() {
-            buffer.push(data).map_err(body_refusal)?;
-        }
-    }
-    Ok(buffer.into_bytes())
-}
-
-fn body_refusal(fault: BodyFault) -> RequestRefusal {
-    match fault {
-        BodyFault::TooLarge => {
-            let detail = "the body is larger than the limit";
-            RequestRefusal::not_run(RefusalReason::TooLarge, detail)
-        }
-        BodyFault::NoRoom => {
-            let detail = "there is no room for the body of the request";
-            let refusal = RequestRefusal::not_run(RefusalReason::Busy, detail);
-            refusal.retry_after(NO_ROOM_RETRY_AFTER_MS)
-        }
-    }
-}
-
 fn fingerprint(admitted: &AdmittedRequest, parts: &Parts, body: &Bytes) -> RequestFingerprint {
     let path = parts.uri.path_and_query();
     RequestFingerprint::of(&[
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -59,7 +59,7 @@
         tick.tick().await;
         let limits = gateway.state().routes.config().limits;
         gateway.callers.expire(CallerTimeouts {
-            // The rest of a body that was refused unread looks like the beginning of a head.
+            // A caller that has begun a head is not closed sooner than one that is idle.
             header_ms: limits.header_timeout_ms.max(limits.idle_timeout_ms),
             idle_ms: limits.idle_timeout_ms,
         });
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,6 +45,7 @@
 pub mod refused_body;
 pub mod relay;
 pub mod repair;
+pub mod request_body;
 pub mod reroute;
 pub mod reserved_target;
 pub mod response;
