--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -97,6 +97,8 @@
 const FIRST_PORT: u16 = 20_000;
 /// Number of ports from [`FIRST_PORT`] on that a test or benchmark process can allocate.
 const PORT_COUNT: u16 = 12_000;
+/// Loopback address at which a process holds the ports that it has allocated.
+const CLAIM_HOST: &str = "127.0.0.2";
 
 /// Acquires the lock that is held while a port is probed and while a process is started, so that
 /// the two never overlap.
@@ -115,8 +117,9 @@
 /// If none of the ports that are left is free.
 pub fn free_address() -> eyre::Result<SocketAddr> {
     static NEXT_INDEX: AtomicU16 = AtomicU16::new(0);
+    static CLAIMS: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
     // Processes that allocate ports at the same time usually start at different ones. A port in use
-    // is skipped.
+    // is skipped, and so is one that another process has allocated and not bound yet.
     let offset = u16::try_from(std::process::id() % 97).unwrap_or(0) * (PORT_COUNT / 97);
     loop {
         let index = NEXT_INDEX.fetch_add(1, Ordering::Relaxed);
@@ -126,7 +129,12 @@
         );
         let port = FIRST_PORT + (offset + index) % PORT_COUNT;
         let _guard = lock_fork();
+        let Ok(claim) = TcpListener::bind((CLAIM_HOST, port)) else {
+            continue;
+        };
         if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            let mut claims = CLAIMS.lock().unwrap_or_else(PoisonError::into_inner);
+            claims.push(claim);
             return Ok(listener.local_addr()?);
         }
     }
