Do not take a reset for the end of an answer after a failed write

What callers saw: a 200 with half of an answer, framed as whole (MIXED). A replica answered without a length before it had read a long body, and reset the connection in the middle of its answer.

The failed write takes the pending reset off the socket, and the read that follows tells the end of the connection, with which such an answer is complete.

Fix: the end of a connection on which a write has failed is read as a reset. Such a connection is not taken from the pool either: by reading, the write may fail after it was put there.

--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -110,6 +110,11 @@
             let message = format!("no end of the response head within {MAX_HEAD_BYTES} bytes");
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
         }
+        // The failed write took the reset, so that it is read as the end of the connection.
+        let is_end = matches!(result, Poll::Ready(Ok(()))) && buffer.filled().len() == before;
+        if is_end && self.write_failed.load(Ordering::Relaxed) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
         result
     }
 }
@@ -207,7 +212,8 @@
         let connections = idle.get_mut(&key)?;
         while let Some(entry) = connections.pop() {
             let reusable = now < entry.expires_at && now.since(entry.idle_since) <= max_idle_ms;
-            if reusable && entry.connection.sender.is_ready() {
+            let write_failed = entry.connection.write_failed.load(Ordering::Relaxed);
+            if reusable && !write_failed && entry.connection.sender.is_ready() {
                 return Some(entry.connection);
             }
         }
