Do not give up connections whose other end reads late

Fix: the option is left off, and three probes have to go unanswered. What went silent while a request was on its way is not found before its deadline, as before; that stays open.

--- a/src/fetch.rs
+++ b/src/fetch.rs
@@ -27,13 +27,11 @@
 /// Idle time after which a connection is probed, and interval of the probes, milliseconds.
 const PROBE_INTERVAL_MS: u64 = 1_000;
 /// Number of probes without an acknowledgement after which a connection is given up.
-const MAX_UNANSWERED_PROBES: u32 = 2;
-/// Time without an acknowledgement after which a connection is given up, milliseconds. A host that is
-/// frozen for less than this without one interval of probes keeps its connections.
-const ACK_TIMEOUT_MS: u64 = 3_000;
+const MAX_UNANSWERED_PROBES: u32 = 3;
 
-/// Has the kernel give up a connection whose other end no longer acknowledges anything. A process that
-/// is silent while its host runs keeps it.
+/// Has the kernel give up a quiet connection whose other end no longer acknowledges probes. A process
+/// that is silent while its host runs keeps it. `TCP_USER_TIMEOUT` is not set: it also ends connections
+/// whose other end acknowledges but does not read.
 ///
 /// # Errors
 ///
@@ -44,9 +42,7 @@
         .with_time(interval)
         .with_interval(interval)
         .with_retries(MAX_UNANSWERED_PROBES);
-    let socket = SockRef::from(stream);
-    socket.set_tcp_keepalive(&keep_alive)?;
-    socket.set_tcp_user_timeout(Some(Duration::from_millis(ACK_TIMEOUT_MS)))
+    SockRef::from(stream).set_tcp_keepalive(&keep_alive)
 }
 
 fn connector() -> HttpConnector {
@@ -56,7 +52,6 @@
     connector.set_keepalive(interval);
     connector.set_keepalive_interval(interval);
     connector.set_keepalive_retries(Some(MAX_UNANSWERED_PROBES));
-    connector.set_tcp_user_timeout(Some(Duration::from_millis(ACK_TIMEOUT_MS)));
     connector
 }
 
--- a/standins/tests/unread_body.rs
+++ b/standins/tests/unread_body.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use serde_json::json;
 use standins::site::{SiteRequest, TestSite};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -83,3 +84,56 @@
         "{answers:?}"
     );
 }
+
+/// Starts a replica that does not read on for some time after it has read a part of a request.
+async fn start_late_reader(pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buffer = vec![0; 65_536];
+                let read = stream.read(&mut buffer).await.unwrap_or(0);
+                let text = String::from_utf8_lossy(&buffer[..read]).into_owned();
+                let mut ids = text
+                    .lines()
+                    .filter_map(|line| line.strip_prefix("x-attempt-id: "));
+                let id = ids.next().unwrap_or("");
+                tokio::time::sleep(pause).await;
+                let mut left = (900_000 + text.find("\r\n\r\n").unwrap_or(0) + 4) - read;
+                while left > 0 {
+                    match stream.read(&mut buffer).await {
+                        Ok(0) | Err(_) => return,
+                        Ok(count) => left -= count,
+                    }
+                }
+                let answer = format!(
+                    "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-replica-stamp: stamp\r\n\
+                     connection: close\r\ncontent-length: 4\r\n\r\ndone"
+                );
+                let _ = stream.write_all(answer.as_bytes()).await;
+            });
+        }
+    });
+    address
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_whose_body_is_read_late_is_not_given_up() {
+    let site = start_site("unread-body-late").await;
+    let address = start_late_reader(Duration::from_millis(5_500)).await;
+    replace_plain_replicas(&site, address).await;
+    let body: &'static str = "x".repeat(900_000).leak();
+    let requests: Vec<_> = (0..6)
+        .map(|number| SiteRequest {
+            body,
+            ..SiteRequest::issue(&format!("late-{number}"))
+        })
+        .collect();
+    let answers = join_all(requests.iter().map(|request| site.fetch(0, request))).await;
+    let statuses: Vec<u16> = answers
+        .into_iter()
+        .map(|answer| answer.map_or(0, |answer| answer.status))
+        .collect();
+    assert_eq!(statuses, [200; 6]);
+}
