--- a/src/gateway/silence_check.rs
+++ b/src/gateway/silence_check.rs
@@ -114,9 +114,12 @@
         };
         let outcome = ask(&gateway, key, ask_timeout_ms(since, asked_at)).await;
         let now = gateway.clock.now();
-        // Another task asks about a later silence.
-        if gateway.state().silences.since(key) != Some(since) {
-            continue;
+        let current = gateway.state().silences.since(key);
+        match current {
+            Some(current) if current == since => {}
+            // Another task asks about a later silence.
+            Some(_) => return,
+            None => continue,
         }
         match judge_silence(since, asked_at, now, outcome) {
             SilenceVerdict::Sound => return note_answer(&gateway, key),
