--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -117,7 +117,11 @@
                 while *at < text.len() && b"+-.eE0123456789".contains(&text[*at]) {
                     *at += 1;
                 }
-                std::str::from_utf8(&text[from..*at]).ok()?.parse().ok().map(Json::Num)
+                std::str::from_utf8(&text[from..*at])
+                    .ok()?
+                    .parse()
+                    .ok()
+                    .map(Json::Num)
             }
         }
     }
@@ -172,7 +176,9 @@
 fn base64(bytes: &[u8]) -> String {
     let mut text = String::new();
     for part in bytes.chunks(3) {
-        let joined = (0..3).fold(0_u32, |sum, i| sum << 8 | u32::from(*part.get(i).unwrap_or(&0)));
+        let joined = (0..3).fold(0_u32, |sum, i| {
+            sum << 8 | u32::from(*part.get(i).unwrap_or(&0))
+        });
         for i in 0..4 {
             match i <= part.len() {
                 true => text.push(LETTERS[(joined >> (18 - 6 * i) & 63) as usize] as char),
@@ -219,7 +225,11 @@
     }
 
     fn status(&self) -> u16 {
-        self.line.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
+        self.line
+            .split(' ')
+            .nth(1)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0)
     }
 
     fn path(&self) -> &str {
@@ -237,7 +247,9 @@
 fn unescape(text: &str) -> String {
     let (mut bytes, raw, mut at) = (Vec::new(), text.as_bytes(), 0);
     while at < raw.len() {
-        let code = (raw[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let code = (raw[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         match code.and_then(|code| u8::from_str_radix(code, 16).ok()) {
             Some(byte) => {
                 bytes.push(byte);
@@ -273,7 +285,9 @@
             Ok(())
         }
         Err(error) => match error.kind() {
-            std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut => Err(NoMessage::TimedOut),
+            std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut => {
+                Err(NoMessage::TimedOut)
+            }
             _ => Err(NoMessage::Cut),
         },
     };
@@ -289,13 +303,21 @@
     let head = String::from_utf8_lossy(&rest[..end]).into_owned();
     rest.drain(..end + 4);
     let mut lines = head.split("\r\n");
-    let mut message = Message { line: lines.next().unwrap_or("").to_owned(), ..Message::default() };
+    let mut message = Message {
+        line: lines.next().unwrap_or("").to_owned(),
+        ..Message::default()
+    };
     for line in lines {
         if let Some((name, value)) = line.split_once(':') {
-            message.headers.push((name.trim().to_ascii_lowercase(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.trim().to_ascii_lowercase(), value.trim().to_owned()));
         }
     }
-    if message.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
+    if message
+        .header("transfer-encoding")
+        .eq_ignore_ascii_case("chunked")
+    {
         loop {
             let at = loop {
                 match rest.windows(2).position(|two| two == b"\r\n") {
@@ -324,7 +346,10 @@
 }
 
 fn answer(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
-    let mut text = format!("HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n", body.len());
+    let mut text = format!(
+        "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         text += &format!("{name}: {value}\r\n");
     }
@@ -389,16 +414,30 @@
     fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) {
         let revision = self.revision;
         let created = self.items.get(key).map_or(revision, |item| item.created);
-        let item = Item { value, revision, created, lease };
+        let item = Item {
+            value,
+            revision,
+            created,
+            lease,
+        };
         self.note(key, item.json(key) + "}");
         self.items.insert(key.to_owned(), item);
     }
 
     fn note(&mut self, key: &str, event: String) {
         let (key, revision, at) = (key.to_owned(), self.revision, Instant::now());
-        self.changes.push_back(Change { at, key, revision, event });
+        self.changes.push_back(Change {
+            at,
+            key,
+            revision,
+            event,
+        });
         let limit = Duration::from_secs(HISTORY_S);
-        while self.changes.front().is_some_and(|oldest| oldest.at.elapsed() > limit) {
+        while self
+            .changes
+            .front()
+            .is_some_and(|oldest| oldest.at.elapsed() > limit)
+        {
             let oldest = self.changes.pop_front();
             self.forgotten = oldest.map_or(self.forgotten, |oldest| oldest.revision);
         }
@@ -407,7 +446,10 @@
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             let revision = self.revision;
-            let event = format!("{{\"key\":{},\"revision\":{revision},\"removed\":true}}", quote(key));
+            let event = format!(
+                "{{\"key\":{},\"revision\":{revision},\"removed\":true}}",
+                quote(key)
+            );
             self.note(key, event);
         }
     }
@@ -480,7 +522,11 @@
     fn start(log: &Log) -> Store {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let data = StoreData { revision: 100, next_lease: 7000, ..StoreData::default() };
+        let data = StoreData {
+            revision: 100,
+            next_lease: 7000,
+            ..StoreData::default()
+        };
         let store = Store {
             data: Arc::new((Mutex::new(data), Condvar::new())),
             address,
@@ -542,7 +588,10 @@
                 return;
             };
             let kind = [("Content-Type", "application/json")];
-            if stream.write_all(&answer(status, &kind, body.as_bytes())).is_err() {
+            if stream
+                .write_all(&answer(status, &kind, body.as_bytes()))
+                .is_err()
+            {
                 return;
             }
         }
@@ -573,7 +622,10 @@
                 match data.items.get(&key) {
                     Some(item) => {
                         let revision = data.revision;
-                        (200, format!("{},\"store_revision\":{revision}}}", item.json(&key)))
+                        (
+                            200,
+                            format!("{},\"store_revision\":{revision}}}", item.json(&key)),
+                        )
                     }
                     None => (404, format!("{{\"store_revision\":{}}}", data.revision)),
                 }
@@ -585,10 +637,13 @@
                 let items = data.items.iter().filter(|(key, _)| fits(key));
                 let items: Vec<String> = items.map(|(key, item)| item.json(key) + "}").collect();
                 let revision = data.revision;
-                (200, format!(
-                    "{{\"items\":[{}],\"truncated\":false,\"store_revision\":{revision}}}",
-                    items.join(",")
-                ))
+                (
+                    200,
+                    format!(
+                        "{{\"items\":[{}],\"truncated\":false,\"store_revision\":{revision}}}",
+                        items.join(",")
+                    ),
+                )
             }
             "/api/kv-watch" => self.watch(call),
             "/api/kv-lease" => self.change(|data| {
@@ -607,7 +662,10 @@
     fn txn(&self, call: &Message) -> Option<(u16, String)> {
         let call = Json::parse(&call.body);
         let puts = call.get("puts").list();
-        let key = puts.first().map_or("", |row| row.get("key").text()).to_owned();
+        let key = puts
+            .first()
+            .map_or("", |row| row.get("key").text())
+            .to_owned();
         let late = self.change(|data| {
             data.writes += 1;
             let (prefix, late, until) = data.lost_prefix.clone()?;
@@ -623,12 +681,16 @@
         let Some(late) = late else {
             return Some(self.change(|data| data.txn(&call)));
         };
-        self.log.line(&format!("store: no answer to the write of {key}, done {late:?} later"));
+        self.log.line(&format!(
+            "store: no answer to the write of {key}, done {late:?} later"
+        ));
         let (store, log) = (self.clone(), self.log.clone());
         thread::spawn(move || {
             thread::sleep(late);
             let (status, body) = store.change(|data| data.txn(&call));
-            log.line(&format!("store: the late write of {key} ends as {status} {body}"));
+            log.line(&format!(
+                "store: the late write of {key} ends as {status} {body}"
+            ));
         });
         None
     }
@@ -708,10 +770,18 @@
     descriptors: &'static str,
 }
 
-const CFCA_LYNX: Site =
-    Site { leave_bound_ms: "2000", budget_extra: "202", memory_mb: "260", descriptors: "4100" };
-const KJSN_JADUAL_GROWN: Site =
-    Site { leave_bound_ms: "3000", budget_extra: "372", memory_mb: "112", descriptors: "2870" };
+const CFCA_LYNX: Site = Site {
+    leave_bound_ms: "2000",
+    budget_extra: "202",
+    memory_mb: "260",
+    descriptors: "4100",
+};
+const KJSN_JADUAL_GROWN: Site = Site {
+    leave_bound_ms: "3000",
+    budget_extra: "372",
+    memory_mb: "112",
+    descriptors: "2870",
+};
 
 struct Gateway {
     site: Site,
@@ -735,7 +805,17 @@
         let name = format!("edge-{zone}-{number}");
         let child = Gateway::spawn(site, &name, zone, store, [front, ready, mail], logs);
         let (zone, logs) = (zone.to_owned(), logs.to_owned());
-        Gateway { site, name, zone, store, logs, front, ready, mail, child }
+        Gateway {
+            site,
+            name,
+            zone,
+            store,
+            logs,
+            front,
+            ready,
+            mail,
+            child,
+        }
     }
 
     fn spawn(
@@ -747,7 +827,10 @@
         logs: &str,
     ) -> Child {
         let path = format!("{logs}/{name}.log");
-        let log = std::fs::File::options().create(true).append(true).open(path);
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(path);
         let log = log.expect("a log file");
         let mut command = Command::new("target/release/lynxcart");
         command.arg("gateway").args(["--name", name]);
@@ -771,8 +854,13 @@
             ("LYNXCART_DESCRIPTORS", site.descriptors),
             ("LYNXCART_LOG", "info"),
         ]);
-        command.stdin(Stdio::null()).stdout(log).stderr(Stdio::null());
-        command.spawn().expect("target/release/lynxcart should start")
+        command
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(Stdio::null());
+        command
+            .spawn()
+            .expect("target/release/lynxcart should start")
     }
 
     /// Stops the process as the platform does, and starts it again. Returns how long it took to stop,
@@ -789,7 +877,9 @@
         }
         let took = began.elapsed().as_secs_f64();
         let addresses = [self.front, self.ready, self.mail];
-        self.child = Gateway::spawn(self.site, &self.name, &self.zone, self.store, addresses, &self.logs);
+        self.child = Gateway::spawn(
+            self.site, &self.name, &self.zone, self.store, addresses, &self.logs,
+        );
         wait_until_ready(std::slice::from_ref(self));
         took
     }
@@ -851,7 +941,10 @@
             };
             near.set_nodelay(true).ok();
             far.set_nodelay(true).ok();
-            let ways = [(near.try_clone(), far.try_clone()), (far.try_clone(), near.try_clone())];
+            let ways = [
+                (near.try_clone(), far.try_clone()),
+                (far.try_clone(), near.try_clone()),
+            ];
             for ((from, into), free) in ways.into_iter().zip(&free) {
                 let (Ok(from), Ok(into), free) = (from, into, Arc::clone(free)) else {
                     continue;
@@ -918,7 +1011,9 @@
 const BACK_MS: u64 = 3_000;
 
 fn unix_ms() -> u128 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis())
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |time| time.as_millis())
 }
 
 impl Replica {
@@ -972,7 +1067,9 @@
             }
             // The entry goes after three intervals of silence.
             thread::sleep(Duration::from_millis(2 * HEARTBEAT_MS));
-            beating.store.delete(&format!("servers/{}", beating.id(life)));
+            beating
+                .store
+                .delete(&format!("servers/{}", beating.id(life)));
         });
     }
 
@@ -1013,7 +1110,11 @@
             } else if request.path() == "/healthz" {
                 answer(200, &[("X-Replica-Id", &id)], b"")
             } else if request.path() == "/api/report" {
-                answer(200, &[("Content-Type", "application/json")], b"{\"stage\":\"both\",\"sequence\":0}")
+                answer(
+                    200,
+                    &[("Content-Type", "application/json")],
+                    b"{\"stage\":\"both\",\"sequence\":0}",
+                )
             } else {
                 let arrival = Arrival {
                     at: self.log.now(),
@@ -1027,12 +1128,18 @@
                     return;
                 }
                 if request.body.starts_with(b"deadly") {
-                    self.log.line(&format!("replica {} runs {attempt} and crashes", self.number));
+                    self.log.line(&format!(
+                        "replica {} runs {attempt} and crashes",
+                        self.number
+                    ));
                     self.crashes.lock().unwrap().push(self.log.now());
                     self.crash();
                     return;
                 }
-                let headers = [("X-Attempt-Id", attempt.as_str()), ("X-Replica-Stamp", stamp.as_str())];
+                let headers = [
+                    ("X-Attempt-Id", attempt.as_str()),
+                    ("X-Replica-Stamp", stamp.as_str()),
+                ];
                 answer(200, &headers, format!("done {attempt}").as_bytes())
             };
             if stream.write_all(&bytes).is_err() {
@@ -1130,10 +1237,16 @@
     thread::sleep(Duration::from_millis(4_500));
     {
         let data = store.data.0.lock().unwrap();
-        log.line(&format!("store: {} of the first {} writes lost their answers", data.lost, data.writes));
+        log.line(&format!(
+            "store: {} of the first {} writes lost their answers",
+            data.lost, data.writes
+        ));
     }
     thread::sleep(Duration::from_secs(14));
-    log.line(&format!("store: registered gateways {:?}", store.keys("lynxcart/gateways/")));
+    log.line(&format!(
+        "store: registered gateways {:?}",
+        store.keys("lynxcart/gateways/")
+    ));
     // Other callers, all the while.
     let is_over = Arc::new(Mutex::new(false));
     let others = Arc::new(Mutex::new(BTreeMap::<String, u64>::new()));
@@ -1171,7 +1284,10 @@
         let id = format!("deadly-{sent}");
         let call = client_call("POST", "/issue/record-17", &id, 4_000, "deadly record 17");
         let result = exchange(gateway.front, &call, 6_000);
-        let text = result.map_or_else(|why| format!("{why:?}"), |answer| answer.status().to_string());
+        let text = result.map_or_else(
+            |why| format!("{why:?}"),
+            |answer| answer.status().to_string(),
+        );
         log.line(&format!("{id} to {}: {text}", gateway.name));
     };
     for _ in 0..3 {
@@ -1187,7 +1303,10 @@
     for caller in callers {
         caller.join().ok();
     }
-    log.line(&format!("other callers' answers: {:?}", others.lock().unwrap()));
+    log.line(&format!(
+        "other callers' answers: {:?}",
+        others.lock().unwrap()
+    ));
     judge_deadly(&replicas[0], log)
 }
 
@@ -1197,17 +1316,32 @@
     let crashes = replica.crashes.lock().unwrap().clone();
     let third = crashes.get(2).copied();
     let arrivals = replica.arrivals.lock().unwrap().clone();
-    for arrival in arrivals.iter().filter(|arrival| arrival.id.starts_with("deadly")) {
-        let Arrival { at, id, path, replica } = arrival;
-        log.quiet(&format!("arrival: {id} {path} at replica {replica} at {at:.3}"));
+    for arrival in arrivals
+        .iter()
+        .filter(|arrival| arrival.id.starts_with("deadly"))
+    {
+        let Arrival {
+            at,
+            id,
+            path,
+            replica,
+        } = arrival;
+        log.quiet(&format!(
+            "arrival: {id} {path} at replica {replica} at {at:.3}"
+        ));
     }
     let late = arrivals.iter().filter(|arrival| {
         let is_late = third.is_some_and(|third| arrival.at > third + CONTACT_S);
         arrival.id.starts_with("deadly") && is_late
     });
     let late = late.count();
-    log.line(&format!("{} crashes, the third at {third:?}", crashes.len()));
-    log.line(&format!("{late} retries reached replicas later than 3 s after that; 3 are allowed"));
+    log.line(&format!(
+        "{} crashes, the third at {third:?}",
+        crashes.len()
+    ));
+    log.line(&format!(
+        "{late} retries reached replicas later than 3 s after that; 3 are allowed"
+    ));
     assert!(third.is_some(), "the request did not crash three replicas");
     late > 3
 }
@@ -1240,7 +1374,10 @@
             let id = format!("deadly-{sent}");
             let call = client_call("POST", "/issue/record-17", &id, 4_000, "deadly record 17");
             let result = exchange(gateway.front, &call, 6_000);
-            let text = result.map_or_else(|why| format!("{why:?}"), |answer| answer.status().to_string());
+            let text = result.map_or_else(
+                |why| format!("{why:?}"),
+                |answer| answer.status().to_string(),
+            );
             log.line(&format!("{id} to {}: {text}", gateway.name));
             thread::sleep(Duration::from_millis(3_300));
         }
@@ -1248,7 +1385,10 @@
             for gateway in &mut gateways {
                 if is_troubled {
                     let took = gateway.stop_and_start();
-                    log.line(&format!("{} was stopped in {took:.1} s and started", gateway.name));
+                    log.line(&format!(
+                        "{} was stopped in {took:.1} s and started",
+                        gateway.name
+                    ));
                 }
                 thread::sleep(Duration::from_millis(1_300));
             }
@@ -1263,14 +1403,26 @@
 fn manifest_storm(is_troubled: bool, log: &Log, logs: &str) -> bool {
     const CONFIG_S: f64 = 3.0;
     let store = Store::start(log);
-    let idle = (0..1_648).map(|number| route(&format!("idle-{number}"), "idempotent", "desk", 2, false));
+    let idle =
+        (0..1_648).map(|number| route(&format!("idle-{number}"), "idempotent", "desk", 2, false));
     let mut others: Vec<String> = idle.collect();
     others.push(route("moved", "idempotent", "desk", 2, true));
     let first = manifest(7, &others);
-    log.line(&format!("the manifest has {} routes and {} bytes", others.len() + 2, first.len()));
+    log.line(&format!(
+        "the manifest has {} routes and {} bytes",
+        others.len() + 2,
+        first.len()
+    ));
     store.write("op/config", &first);
-    let replicas = start_replicas(&["desk", "desk", "desk", "annex", "annex", "annex"], &store, log);
-    let links = [start_link(store.address, 200.0), start_link(store.address, 14.0)];
+    let replicas = start_replicas(
+        &["desk", "desk", "desk", "annex", "annex", "annex"],
+        &store,
+        log,
+    );
+    let links = [
+        start_link(store.address, 200.0),
+        start_link(store.address, 14.0),
+    ];
     let gateways: Vec<Gateway> = (0..2)
         .map(|number| Gateway::start(KJSN_JADUAL_GROWN, number, links[number], "a", logs))
         .collect();
@@ -1280,7 +1432,13 @@
     // The last change moves a route and adds one.
     let changes = if is_troubled { 25 } else { 1 };
     for change in 0..changes {
-        others.push(route(&format!("new-{change}"), "idempotent", "desk", 2, false));
+        others.push(route(
+            &format!("new-{change}"),
+            "idempotent",
+            "desk",
+            2,
+            false,
+        ));
         if change + 1 == changes {
             let moved = others.iter_mut().find(|text| text.contains("\"/moved/\""));
             *moved.expect("the route") = route("moved", "idempotent", "annex", 2, true);
@@ -1289,7 +1447,9 @@
         thread::sleep(Duration::from_millis(80));
     }
     let acked = log.now() - 0.08;
-    log.line(&format!("{changes} manifests were acknowledged, the last at {acked:.3}"));
+    log.line(&format!(
+        "{changes} manifests were acknowledged, the last at {acked:.3}"
+    ));
     let added = format!("/new-{}/x", changes - 1);
     let mut wrong = 0;
     for number in 0..120 {
@@ -1300,7 +1460,8 @@
                 let id = format!("{}-{number}{}", gateway.name, path.replace('/', "-"));
                 let sent = log.now();
                 let call = client_call("GET", path, &id, 1_000, "");
-                let status = exchange(gateway.front, &call, 3_000).map_or(0, |answer| answer.status());
+                let status =
+                    exchange(gateway.front, &call, 3_000).map_or(0, |answer| answer.status());
                 let arrivals = replicas[0].arrivals.lock().unwrap();
                 let ran = arrivals.iter().find(|arrival| arrival.id == id);
                 let service = ran.map_or("none", |arrival| replicas[arrival.replica].service);
